Kernel, core types and HTTP adapter in the shape

Cause: the project starts; the shape has to stand before anything is broadened. Plug-ins register themselves with the kernel, one control thread owns state, traffic threads carry HTTP, failures are a variant carried in absl::Status.

--- /dev/null
+++ b/cmake/heatherdeal.cmake
@@ -0,0 +1,41 @@
+# Functions that the modules' CMakeLists use.
+
+# Adds decision sources to the library that other programs embed.
+function(heatherdeal_decisions)
+  foreach(source ${ARGN})
+    target_sources(heatherdeal_coordination PRIVATE
+      ${CMAKE_CURRENT_SOURCE_DIR}/${source})
+  endforeach()
+endfunction()
+
+# A module that does I/O. Object libraries, because a linker drops an
+# unreferenced registration from an archive.
+function(heatherdeal_module NAME)
+  add_library(hd_${NAME} OBJECT ${ARGN})
+  target_link_libraries(hd_${NAME} PUBLIC heatherdeal_coordination hd_settings)
+  target_precompile_headers(hd_${NAME} REUSE_FROM hd_pch)
+endfunction()
+
+# A binary: its main and the modules linked into it.
+function(heatherdeal_binary NAME MAIN)
+  add_executable(${NAME} ${MAIN})
+  target_link_libraries(${NAME} PRIVATE hd_thirdparty hd_kernel)
+  foreach(module ${ARGN})
+    target_link_libraries(${NAME} PRIVATE hd_${module})
+  endforeach()
+  install(TARGETS ${NAME})
+endfunction()
+
+# A Catch2 test program of one module; LINK names further modules.
+function(heatherdeal_test NAME)
+  if(NOT HEATHERDEAL_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${NAME} ${ARG_SOURCES})
+  target_link_libraries(${NAME} PRIVATE hd_testmain heatherdeal_coordination)
+  foreach(module ${ARG_LINK})
+    target_link_libraries(${NAME} PRIVATE hd_${module})
+  endforeach()
+  add_test(NAME ${NAME} COMMAND ${NAME})
+endfunction()
--- /dev/null
+++ b/src/core/tests/failuretest.cpp
@@ -0,0 +1,63 @@
+#include "core/failure.h"
+
+#include "catch2/catch.hpp"
+
+#include "core/overloaded.h"
+
+namespace heatherdeal::core {
+
+TEST_CASE("each failure keeps its type and fields through a status")
+{
+  const std::vector<Failure> failures{
+    InvalidSetting{ "$.a", "1", "a string" },
+    InvalidInput{ "header", "shorter" },
+    ConnectionFailed{ "127.0.0.1:1", Executed::No },
+    DeadlineExceeded{ "call", Executed::Unknown },
+    TruncatedAnswer{ "peer" },
+    PeerRefused{ "peer", 503, Executed::Yes },
+    Overload{ "queue" },
+    NoUpstream{ "songs" },
+    Quarantined{ "ab12" },
+    AlreadySubmitted{ "id", Executed::Yes },
+    VersionConflict{ 3, 4 },
+    GenerationRegressed{ 9, 8 },
+    NotFound{ "it" },
+    NotOwner{ "job/0", "127.0.0.1:2" },
+    StaleCursor{ 2, 11 },
+    PullSuperseded{ "job/0" },
+    WatchGap{ "leases" },
+    UnnamedVersion{ "engine" },
+    FenceRejected{ 5 },
+    Draining{ "host" },
+    Unauthorized{ "/dump" },
+  };
+  REQUIRE(failures.size() == std::variant_size_v<Failure>);
+  for (const Failure& failure : failures) {
+    const absl::Status status = ToStatus(failure);
+    CHECK_FALSE(status.ok());
+    const std::optional<Failure> back = FromStatus(status);
+    REQUIRE(back.has_value());
+    CHECK(Describe(*back) == Describe(failure));
+    CHECK(ExecutedOf(*back) == ExecutedOf(failure));
+  }
+}
+
+TEST_CASE("a field cannot forge another field")
+{
+  const absl::Status status =
+    ToStatus(InvalidInput{ "a\x1f" "b", "c" });
+  const std::optional<Failure> back = FromStatus(status);
+  REQUIRE(back.has_value());
+  CHECK(std::get<InvalidInput>(*back).m_where == "ab");
+  CHECK(std::get<InvalidInput>(*back).m_expected == "c");
+}
+
+TEST_CASE("a status of other code carries no failure")
+{
+  CHECK_FALSE(FromStatus(absl::InternalError("x")).has_value());
+  absl::Status forged = absl::InternalError("x");
+  forged.SetPayload("heatherdeal/failure", absl::Cord("not-found"));
+  CHECK_FALSE(FromStatus(forged).has_value());
+}
+
+} // namespace heatherdeal::core
--- /dev/null
+++ b/src/core/weightversion.cpp
@@ -0,0 +1,55 @@
+#include "core/weightversion.h"
+
+#include <algorithm>
+
+namespace heatherdeal::core {
+
+void
+AppendTokens(std::vector<VersionSpan>& aSpans,
+             uint32_t aCount,
+             WeightVersion aVersion)
+{
+  if (aCount == 0) {
+    return;
+  }
+  if (!aSpans.empty() && aSpans.back().m_version == aVersion) {
+    aSpans.back().m_end += aCount;
+    return;
+  }
+  const uint32_t begin = aSpans.empty() ? 0 : aSpans.back().m_end;
+  aSpans.push_back({ begin, begin + aCount, aVersion });
+}
+
+bool
+SpansCover(std::span<const VersionSpan> aSpans, uint32_t aTokens)
+{
+  uint32_t expected = 0;
+  for (const VersionSpan& span : aSpans) {
+    if (span.m_begin != expected || span.m_end <= span.m_begin) {
+      return false;
+    }
+    expected = span.m_end;
+  }
+  return expected == aTokens;
+}
+
+WeightVersion
+OldestVersion(std::span<const VersionSpan> aSpans)
+{
+  if (aSpans.empty()) {
+    return {};
+  }
+  const auto oldest = std::ranges::min_element(aSpans, {}, &VersionSpan::m_version);
+  return oldest->m_version;
+}
+
+uint64_t
+VersionsBehind(WeightVersion aOldest, WeightVersion aNewest)
+{
+  if (aOldest >= aNewest) {
+    return 0;
+  }
+  return aNewest.m_number - aOldest.m_number;
+}
+
+} // namespace heatherdeal::core
--- /dev/null
+++ b/src/http/httpmodule.cpp
@@ -0,0 +1,147 @@
+#include "http/httpmodule.h"
+
+#include <future>
+
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/deferred.hpp"
+#include "boost/asio/use_awaitable.hpp"
+#include "boost/json/serialize.hpp"
+
+#include "kernel/plugin.h"
+
+namespace heatherdeal::http {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int64_t kMaxPort = 65535;
+constexpr int64_t kMaxHeaderBytes = 1024 * 1024;
+constexpr int64_t kMaxBodyBytes = 1024LL * 1024 * 1024;
+constexpr int64_t kMaxConnections = 1'000'000;
+constexpr int64_t kMaxMilliseconds = 3'600'000;
+
+std::any
+ParseSettings(kernel::SettingsReader& aReader)
+{
+  ServerSettings settings;
+  settings.m_listen.m_address = aReader.TextOr("address", "127.0.0.1");
+  settings.m_listen.m_port =
+    static_cast<uint16_t>(aReader.Integer("port", { 0, kMaxPort }));
+  settings.m_headerBytes = static_cast<uint32_t>(
+    aReader.IntegerOr("header_bytes", { 256, kMaxHeaderBytes }, 16 * 1024));
+  settings.m_bodyBytes = static_cast<uint64_t>(aReader.IntegerOr(
+    "body_bytes", { 0, kMaxBodyBytes }, 8 * 1024 * 1024));
+  settings.m_connections = static_cast<uint32_t>(
+    aReader.IntegerOr("connections", { 1, kMaxConnections }, 4096));
+  const kernel::Range range{ 1, kMaxMilliseconds };
+  settings.m_headerTime =
+    aReader.MillisecondsOr("header_time_ms", range, settings.m_headerTime);
+  settings.m_idleTime =
+    aReader.MillisecondsOr("idle_time_ms", range, settings.m_idleTime);
+  settings.m_writeTime =
+    aReader.MillisecondsOr("write_time_ms", range, settings.m_writeTime);
+  settings.m_operatorToken = aReader.TextOr("operator_token", "");
+  return settings;
+}
+
+asio::awaitable<void>
+AnswerHealth(Exchange& aExchange)
+{
+  Answer answer;
+  answer.m_body = "ok\n";
+  co_await aExchange.Respond(std::move(answer));
+}
+
+asio::awaitable<void>
+AnswerReadiness(kernel::Context& aContext, Exchange& aExchange)
+{
+  Answer answer;
+  answer.m_body = "ready\n";
+  if (aContext.Stopping().IsRequested()) {
+    answer = FailureAnswer(core::Draining{ aContext.Self().m_host });
+  }
+  co_await aExchange.Respond(std::move(answer));
+}
+
+asio::awaitable<void>
+AnswerMetrics(kernel::Context& aContext, Exchange& aExchange)
+{
+  Answer answer;
+  answer.m_head.m_headers.push_back({ "Content-Type", "text/plain" });
+  answer.m_body = kernel::ToPrometheusText(aContext.Metrics());
+  co_await aExchange.Respond(std::move(answer));
+}
+
+/// Runs on the control thread, which owns the state.
+asio::awaitable<std::string>
+TakeDump(kernel::Context& aContext)
+{
+  co_return boost::json::serialize(kernel::DumpAll(aContext));
+}
+
+asio::awaitable<void>
+AnswerDump(std::shared_ptr<Server> aServer, Exchange& aExchange)
+{
+  if (!aServer->IsOperator(aExchange.Asked())) {
+    Answer refusal = FailureAnswer(core::Unauthorized{ "/dump" });
+    co_await aExchange.Respond(std::move(refusal));
+    co_return;
+  }
+  Answer answer;
+  answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
+  answer.m_body =
+    co_await asio::co_spawn(aServer->Kernel().Control().Context(),
+                            TakeDump(aServer->Kernel()),
+                            asio::use_awaitable);
+  co_await aExchange.Respond(std::move(answer));
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any& aSettings)
+{
+  const auto& settings = std::any_cast<const ServerSettings&>(aSettings);
+  auto server = std::make_shared<Server>(aContext, settings);
+  aContext.Provide(std::make_shared<Clients>(aContext));
+  aContext.Provide(server);
+  server->AddRoute({ "GET", "/healthz", AnswerHealth });
+  server->AddRoute({ "GET", "/readyz", [&aContext](Exchange& aExchange) {
+                      return AnswerReadiness(aContext, aExchange);
+                    } });
+  server->AddRoute({ "GET", "/metrics", [&aContext](Exchange& aExchange) {
+                      return AnswerMetrics(aContext, aExchange);
+                    } });
+  std::weak_ptr<Server> weak = server;
+  server->AddRoute({ "GET", "/dump", [weak](Exchange& aExchange) {
+                      return AnswerDump(weak.lock(), aExchange);
+                    } });
+  // Runs after every plug-in has added its routes.
+  aContext.Control().Post([server, &aContext] {
+    const absl::Status status = server->Listen();
+    if (!status.ok()) {
+      aContext.Fail(status);
+    }
+  });
+  return absl::OkStatus();
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  const auto server = aContext.Get<Server>();
+  return { { "port", server->Port() },
+           { "open_connections", server->OpenConnections().load() } };
+}
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = {},
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::http
--- /dev/null
+++ b/src/http/internal/connection.cpp
@@ -0,0 +1,195 @@
+#include "http/internal/connection.h"
+
+#include "boost/asio/redirect_error.hpp"
+#include "boost/asio/use_awaitable.hpp"
+#include "boost/beast/http/parser.hpp"
+#include "boost/beast/http/read.hpp"
+#include "boost/beast/http/string_body.hpp"
+
+#include "kernel/log.h"
+
+namespace heatherdeal::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+using Parser = beast::http::request_parser<beast::http::string_body>;
+
+constexpr uint32_t kBadRequest = 400;
+constexpr uint32_t kPayloadTooLarge = 413;
+constexpr uint32_t kHeaderTooLarge = 431;
+constexpr uint32_t kRequestTimeout = 408;
+
+/// How a request that could not be read is answered.
+struct ReadRefusal
+{
+  core::Failure m_failure;
+  uint32_t m_status = kBadRequest;
+  std::string_view m_counter;
+};
+
+std::optional<ReadRefusal>
+RefusalOf(boost::system::error_code aError)
+{
+  using beast::http::error;
+  if (aError == error::end_of_stream || aError == asio::error::eof ||
+      aError == asio::error::connection_reset) {
+    return std::nullopt;
+  }
+  if (aError == error::header_limit || aError == error::buffer_overflow) {
+    return ReadRefusal{ core::InvalidInput{ "header", "a smaller header" },
+                        kHeaderTooLarge,
+                        "http.header_too_large" };
+  }
+  if (aError == error::body_limit) {
+    return ReadRefusal{ core::InvalidInput{ "body", "a smaller body" },
+                        kPayloadTooLarge,
+                        "http.body_too_large" };
+  }
+  if (aError == error::partial_message) {
+    return ReadRefusal{ core::InvalidInput{ "body", "a whole request" },
+                        kBadRequest,
+                        "http.truncated_request" };
+  }
+  if (aError == beast::error::timeout) {
+    return ReadRefusal{ core::InvalidInput{ "request", "to be sent in time" },
+                        kRequestTimeout,
+                        "http.slow_request" };
+  }
+  return ReadRefusal{ core::InvalidInput{ "request", "HTTP/1.1" },
+                      kBadRequest,
+                      "http.malformed_request" };
+}
+
+Request
+ToRequest(Parser::value_type aMessage)
+{
+  Request request;
+  request.m_method = std::string(aMessage.method_string());
+  request.m_target = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.m_headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.m_body = std::move(aMessage.body());
+  return request;
+}
+
+} // namespace
+
+Connection::Connection(std::shared_ptr<Server> aServer,
+                       beast::tcp_stream aStream,
+                       size_t aLoopIndex)
+  : m_server(std::move(aServer))
+  , m_stream(std::move(aStream))
+  , m_buffer(m_server->Settings().m_headerBytes + 4096)
+  , m_loopIndex(aLoopIndex)
+{
+  m_server->OpenConnections().fetch_add(1);
+}
+
+Connection::~Connection()
+{
+  m_server->OpenConnections().fetch_sub(1);
+}
+
+bool
+Connection::IsDraining() const
+{
+  return m_server->Kernel().Stopping().IsRequested();
+}
+
+asio::awaitable<void>
+Connection::Run()
+{
+  while (co_await ServeOne()) {
+  }
+  boost::system::error_code ignored;
+  m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<bool>
+Connection::ServeOne()
+{
+  Parser parser;
+  parser.header_limit(Settings().m_headerBytes);
+  parser.body_limit(Settings().m_bodyBytes);
+  boost::system::error_code error;
+  m_stream.expires_after(Settings().m_idleTime);
+  if (m_buffer.size() == 0) {
+    // Waits for the first byte without a hold, so that an idle connection
+    // does not delay a shutdown.
+    const size_t got = co_await m_stream.async_read_some(
+      m_buffer.prepare(1024),
+      asio::redirect_error(asio::use_awaitable, error));
+    m_buffer.commit(got);
+    if (error) {
+      co_return false;
+    }
+  }
+  const auto hold = m_server->Kernel().Stopping().Acquire();
+  m_stream.expires_after(Settings().m_headerTime);
+  co_await beast::http::async_read(
+    m_stream,
+    m_buffer,
+    parser,
+    asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    const std::optional<ReadRefusal> refusal = RefusalOf(error);
+    if (refusal) {
+      m_server->Kernel().Metrics().Get(refusal->m_counter).Add();
+      co_await Refuse(refusal->m_failure, refusal->m_status);
+    }
+    co_return false;
+  }
+  m_server->Kernel().Metrics().Get("http.requests").Add();
+  const bool keepAlive = parser.get().keep_alive() && !IsDraining();
+  Exchange exchange(
+    *this, ToRequest(parser.release()), m_loopIndex, keepAlive);
+  m_stream.expires_never();
+  co_await Handle(exchange);
+  co_return exchange.HasEnded() && exchange.KeepAlive();
+}
+
+asio::awaitable<void>
+Connection::Refuse(core::Failure aFailure, uint32_t aStatus)
+{
+  Exchange exchange(*this, Request{}, m_loopIndex, false);
+  Answer answer = FailureAnswer(aFailure);
+  answer.m_head.m_status = aStatus;
+  co_await exchange.Respond(std::move(answer));
+}
+
+asio::awaitable<void>
+Connection::Handle(Exchange& aExchange)
+{
+  const Handler* handler = m_server->FindHandler(
+    aExchange.Asked().m_method, aExchange.Asked().m_target);
+  if (handler == nullptr) {
+    const core::Failure failure =
+      core::NotFound{ std::string(PathOf(aExchange.Asked().m_target)) };
+    Answer answer = FailureAnswer(failure);
+    co_await aExchange.Respond(std::move(answer));
+    co_return;
+  }
+  std::string thrown;
+  try {
+    co_await (*handler)(aExchange);
+  } catch (const std::exception& error) {
+    thrown = error.what();
+  }
+  if (!thrown.empty()) {
+    m_server->Kernel().Metrics().Get("http.handler_threw").Add();
+    kernel::Log(kernel::LogLevel::Error, "http", "event=handler-threw " + thrown);
+  }
+  if (!aExchange.HasBegun()) {
+    const core::Failure failure =
+      core::TruncatedAnswer{ std::string(aExchange.Asked().m_target) };
+    Answer answer = FailureAnswer(failure);
+    co_await aExchange.Respond(std::move(answer));
+  }
+}
+
+} // namespace heatherdeal::http
--- /dev/null
+++ b/src/http/internal/message.cpp
@@ -0,0 +1,64 @@
+#include "http/message.h"
+
+#include <charconv>
+
+#include "boost/beast/core/string.hpp"
+
+namespace heatherdeal::http {
+
+std::string_view
+FindHeader(std::span<const Header> aHeaders, std::string_view aName)
+{
+  for (const Header& header : aHeaders) {
+    if (boost::beast::iequals(header.m_name, { aName.data(), aName.size() })) {
+      return header.m_value;
+    }
+  }
+  return {};
+}
+
+std::string_view
+PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+std::optional<std::string_view>
+QueryValue(std::string_view aTarget, std::string_view aName)
+{
+  const size_t begin = aTarget.find('?');
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view query = aTarget.substr(begin + 1);
+  while (!query.empty()) {
+    const size_t end = query.find('&');
+    const std::string_view field = query.substr(0, end);
+    const size_t equals = field.find('=');
+    if (field.substr(0, equals) == aName) {
+      return equals == std::string_view::npos ? std::string_view()
+                                              : field.substr(equals + 1);
+    }
+    query = end == std::string_view::npos ? std::string_view()
+                                          : query.substr(end + 1);
+  }
+  return std::nullopt;
+}
+
+std::optional<uint64_t>
+QueryNumber(std::string_view aTarget, std::string_view aName)
+{
+  const auto text = QueryValue(aTarget, aName);
+  if (!text) {
+    return std::nullopt;
+  }
+  uint64_t number = 0;
+  const char* end = text->data() + text->size();
+  const auto [rest, error] = std::from_chars(text->data(), end, number);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+} // namespace heatherdeal::http
--- /dev/null
+++ b/src/http/internal/pooledconnection.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "boost/beast/core/flat_buffer.hpp"
+#include "boost/beast/core/tcp_stream.hpp"
+#include "boost/beast/http/buffer_body.hpp"
+#include "boost/beast/http/parser.hpp"
+
+#include "http/client.h"
+
+namespace heatherdeal::http {
+
+/// One connection to a peer, used for one exchange at a time.
+class PooledConnection
+{
+public:
+  PooledConnection(Client& aClient,
+                   boost::asio::io_context& aLoop,
+                   core::Endpoint aPeer)
+    : m_client(aClient)
+    , m_stream(aLoop)
+    , m_peer(std::move(aPeer))
+  {
+  }
+
+  Client& m_client;
+  boost::beast::tcp_stream m_stream;
+  boost::beast::flat_buffer m_buffer;
+  core::Endpoint m_peer;
+  std::optional<
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+    m_parser;
+  core::Instant m_idleUntil{};
+};
+
+} // namespace heatherdeal::http
--- /dev/null
+++ b/src/http/internal/server.cpp
@@ -0,0 +1,135 @@
+#include "http/server.h"
+
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/redirect_error.hpp"
+#include "boost/asio/use_awaitable.hpp"
+
+#include "http/internal/connection.h"
+#include "kernel/log.h"
+
+namespace heatherdeal::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::string_view kAnyMethod = "*";
+
+asio::awaitable<void>
+ServeConnection(std::shared_ptr<Server> aServer, tcp::socket aSocket, size_t aLoop)
+{
+  Connection connection(
+    std::move(aServer), boost::beast::tcp_stream(std::move(aSocket)), aLoop);
+  co_await connection.Run();
+}
+
+asio::awaitable<void>
+AcceptLoop(std::shared_ptr<Server> aServer, std::shared_ptr<tcp::acceptor> aAcceptor)
+{
+  kernel::Context& context = aServer->Kernel();
+  for (;;) {
+    const size_t index = context.Traffic().NextIndex();
+    tcp::socket socket(context.Traffic().Loop(index));
+    boost::system::error_code error;
+    co_await aAcceptor->async_accept(
+      socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      context.Metrics().Get("http.accept_failed").Add();
+      continue;
+    }
+    if (aServer->OpenConnections().load() >=
+        aServer->Settings().m_connections) {
+      context.Metrics().Get("http.connections_refused").Add();
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    asio::co_spawn(context.Traffic().Loop(index),
+                   ServeConnection(aServer, std::move(socket), index),
+                   asio::detached);
+  }
+}
+
+} // namespace
+
+Server::Server(kernel::Context& aContext, ServerSettings aSettings)
+  : m_context(aContext)
+  , m_settings(std::move(aSettings))
+{
+}
+
+void
+Server::AddRoute(Route aRoute)
+{
+  m_routes.push_back(std::move(aRoute));
+}
+
+absl::Status
+Server::Listen()
+{
+  boost::system::error_code error;
+  const auto address =
+    asio::ip::make_address(m_settings.m_listen.m_address, error);
+  if (error) {
+    return core::ToStatus(core::InvalidSetting{
+      "$.http.address", m_settings.m_listen.m_address, "an IP number" });
+  }
+  // Accepting costs little and shares a loop with requests.
+  auto acceptor = std::make_shared<tcp::acceptor>(m_context.Traffic().Loop(0));
+  const tcp::endpoint endpoint(address, m_settings.m_listen.m_port);
+  acceptor->open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor->set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor->bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor->listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return core::ToStatus(core::ConnectionFailed{
+      m_settings.m_listen.m_address + ":" +
+        std::to_string(m_settings.m_listen.m_port) + " " + error.message(),
+      core::Executed::No });
+  }
+  m_port = acceptor->local_endpoint().port();
+  asio::co_spawn(m_context.Traffic().Loop(0),
+                 AcceptLoop(shared_from_this(), acceptor),
+                 asio::detached);
+  return absl::OkStatus();
+}
+
+const Handler*
+Server::FindHandler(std::string_view aMethod, std::string_view aTarget) const
+{
+  const std::string_view path = PathOf(aTarget);
+  const Route* best = nullptr;
+  for (const Route& route : m_routes) {
+    const bool matches = path.starts_with(route.m_prefix) &&
+                         (route.m_method == kAnyMethod ||
+                          route.m_method == aMethod);
+    if (matches && (best == nullptr ||
+                    route.m_prefix.size() > best->m_prefix.size())) {
+      best = &route;
+    }
+  }
+  return best == nullptr ? nullptr : &best->m_handler;
+}
+
+bool
+Server::IsOperator(const Request& aRequest) const
+{
+  const std::string_view token =
+    FindHeader(aRequest.m_headers, "X-Heatherdeal-Operator-Token");
+  return !m_settings.m_operatorToken.empty() &&
+         token == m_settings.m_operatorToken;
+}
+
+} // namespace heatherdeal::http
--- /dev/null
+++ b/src/kernel/context.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <any>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <typeindex>
+
+#include "absl/status/status.h"
+
+#include "kernel/controlthread.h"
+#include "kernel/counters.h"
+#include "kernel/shutdown.h"
+#include "kernel/trafficthreads.h"
+
+namespace heatherdeal::kernel {
+
+/// Who this process is, from its settings.
+struct Identity
+{
+  std::string m_host;
+  std::string m_failureDomain;
+  std::string m_region;
+  std::string m_address;
+};
+
+/// What the kernel gives to each plug-in, and what plug-ins export to each
+/// other by type.
+class Context
+{
+public:
+  Context(Identity aIdentity, size_t aTrafficThreads);
+
+  const Identity& Self() const { return m_identity; }
+  ControlThread& Control() { return m_control; }
+  TrafficThreads& Traffic() { return m_traffic; }
+  Counters& Metrics() { return m_counters; }
+  Shutdown& Stopping() { return m_shutdown; }
+
+  /// Ends the process: a part that started has found that it cannot work.
+  void Fail(absl::Status aStatus);
+  const absl::Status& Failed() const { return m_failed; }
+
+  /// Exports a service; one of each type.
+  template<typename Service>
+  void Provide(std::shared_ptr<Service> aService)
+  {
+    m_services[std::type_index(typeid(Service))] = std::move(aService);
+  }
+
+  /// A service that a needed plug-in has exported.
+  template<typename Service>
+  std::shared_ptr<Service> Get() const
+  {
+    const auto found = m_services.find(std::type_index(typeid(Service)));
+    if (found == m_services.end()) {
+      return nullptr;
+    }
+    return std::static_pointer_cast<Service>(found->second);
+  }
+
+private:
+  Identity m_identity;
+  Counters m_counters;
+  // Requests that the loops still hold release it when they are destroyed.
+  Shutdown m_shutdown;
+  ControlThread m_control;
+  TrafficThreads m_traffic;
+  std::map<std::type_index, std::shared_ptr<void>> m_services;
+  absl::Status m_failed;
+};
+
+} // namespace heatherdeal::kernel
--- /dev/null
+++ b/src/kernel/internal/settingsreader.cpp
@@ -0,0 +1,238 @@
+#include "kernel/settingsreader.h"
+
+#include <algorithm>
+
+#include "boost/json/serialize.hpp"
+
+namespace heatherdeal::kernel {
+
+namespace {
+
+constexpr size_t kShownValueBytes = 80;
+
+std::string
+Shown(const boost::json::value& aValue)
+{
+  std::string text = boost::json::serialize(aValue);
+  if (text.size() > kShownValueBytes) {
+    text.resize(kShownValueBytes);
+    text += "...";
+  }
+  return text;
+}
+
+std::string
+RangeText(std::string_view aType, Range aRange)
+{
+  return std::string(aType) + " from " + std::to_string(aRange.m_least) +
+         " to " + std::to_string(aRange.m_greatest);
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(const boost::json::value& aValue,
+                               std::string_view aPath,
+                               SettingsErrors& aErrors)
+  : m_path(aPath)
+  , m_errors(aErrors)
+{
+  if (aValue.is_object()) {
+    m_object = &aValue.get_object();
+    return;
+  }
+  m_errors.m_errors.push_back({ m_path, Shown(aValue), "an object" });
+}
+
+SettingsReader::~SettingsReader()
+{
+  if (m_object == nullptr) {
+    return;
+  }
+  for (const auto& field : *m_object) {
+    const std::string_view name(field.key().data(), field.key().size());
+    if (!m_asked.contains(name)) {
+      Note(name, field.value(), "no field of this name");
+    }
+  }
+}
+
+std::string
+SettingsReader::PathOf(std::string_view aName) const
+{
+  return m_path + "." + std::string(aName);
+}
+
+const boost::json::value*
+SettingsReader::Optional(std::string_view aName)
+{
+  m_asked.emplace(aName);
+  if (m_object == nullptr) {
+    return nullptr;
+  }
+  return m_object->if_contains({ aName.data(), aName.size() });
+}
+
+void
+SettingsReader::Note(std::string_view aName,
+                     const boost::json::value& aValue,
+                     std::string_view aExpected)
+{
+  m_errors.m_errors.push_back(
+    { PathOf(aName), Shown(aValue), std::string(aExpected) });
+}
+
+void
+SettingsReader::NoteMissing(std::string_view aName, std::string_view aExpected)
+{
+  if (m_object == nullptr) {
+    return;
+  }
+  m_errors.m_errors.push_back(
+    { PathOf(aName), "(missing)", std::string(aExpected) });
+}
+
+std::string
+SettingsReader::Text(std::string_view aName)
+{
+  if (Optional(aName) == nullptr) {
+    NoteMissing(aName, "a string");
+    return {};
+  }
+  const std::string text = TextOr(aName, "");
+  if (text.empty()) {
+    Note(aName, *Optional(aName), "a string that is not empty");
+  }
+  return text;
+}
+
+std::string
+SettingsReader::TextOr(std::string_view aName, std::string_view aDefault)
+{
+  const boost::json::value* value = Optional(aName);
+  if (value == nullptr) {
+    return std::string(aDefault);
+  }
+  if (!value->is_string()) {
+    Note(aName, *value, "a string");
+    return std::string(aDefault);
+  }
+  return std::string(value->get_string());
+}
+
+int64_t
+SettingsReader::Integer(std::string_view aName, Range aRange)
+{
+  if (Optional(aName) == nullptr) {
+    NoteMissing(aName, RangeText("an integer", aRange));
+    return aRange.m_least;
+  }
+  return IntegerOr(aName, aRange, aRange.m_least);
+}
+
+int64_t
+SettingsReader::IntegerOr(std::string_view aName,
+                          Range aRange,
+                          int64_t aDefault)
+{
+  const boost::json::value* value = Optional(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  boost::json::error_code error;
+  const auto number = value->to_number<int64_t>(error);
+  if (!value->is_number() || value->is_double() || error ||
+      number < aRange.m_least || number > aRange.m_greatest) {
+    Note(aName, *value, RangeText("an integer", aRange));
+    return aDefault;
+  }
+  return number;
+}
+
+double
+SettingsReader::NumberOr(std::string_view aName,
+                         double aLeast,
+                         double aGreatest,
+                         double aDefault)
+{
+  const boost::json::value* value = Optional(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  boost::json::error_code error;
+  const double number = value->is_number() ? value->to_number<double>(error) : 0;
+  if (!value->is_number() || error || number < aLeast || number > aGreatest) {
+    Note(aName,
+         *value,
+         "a number from " + std::to_string(aLeast) + " to " +
+           std::to_string(aGreatest));
+    return aDefault;
+  }
+  return number;
+}
+
+bool
+SettingsReader::FlagOr(std::string_view aName, bool aDefault)
+{
+  const boost::json::value* value = Optional(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_bool()) {
+    Note(aName, *value, "true or false");
+    return aDefault;
+  }
+  return value->get_bool();
+}
+
+core::Duration
+SettingsReader::MillisecondsOr(std::string_view aName,
+                               Range aRange,
+                               core::Duration aDefault)
+{
+  const auto fallback =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDefault);
+  return std::chrono::milliseconds(
+    IntegerOr(aName, aRange, fallback.count()));
+}
+
+size_t
+SettingsReader::ChoiceOr(std::string_view aName,
+                         std::span<const std::string_view> aChoices,
+                         size_t aDefault)
+{
+  const boost::json::value* value = Optional(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  const std::string_view text =
+    value->is_string() ? std::string_view(value->get_string().data(),
+                                          value->get_string().size())
+                       : std::string_view();
+  const auto found = std::ranges::find(aChoices, text);
+  if (found != aChoices.end()) {
+    return static_cast<size_t>(found - aChoices.begin());
+  }
+  std::string expected = "one of";
+  for (const std::string_view choice : aChoices) {
+    expected += " \"" + std::string(choice) + "\"";
+  }
+  Note(aName, *value, expected);
+  return aDefault;
+}
+
+std::vector<std::string>
+SettingsReader::TextsOr(std::string_view aName)
+{
+  std::vector<std::string> texts;
+  ForEach(aName, [&](const boost::json::value& aElement, std::string_view aPath) {
+    if (aElement.is_string()) {
+      texts.emplace_back(aElement.get_string());
+      return;
+    }
+    m_errors.m_errors.push_back(
+      { std::string(aPath), Shown(aElement), "a string" });
+  });
+  return texts;
+}
+
+} // namespace heatherdeal::kernel
--- /dev/null
+++ b/src/kernel/log.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string_view>
+
+#include "core/failure.h"
+
+namespace heatherdeal::kernel {
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/// Sends log lines to standard error, from aLeast on.
+void
+StartLogging(std::string_view aProcess, LogLevel aLeast);
+
+/// One line: time, process, level, the part that speaks, the message.
+void
+Log(LogLevel aLevel, std::string_view aPart, std::string_view aMessage);
+
+/// Logs a failure with its type and fields.
+void
+LogFailure(LogLevel aLevel,
+           std::string_view aPart,
+           const core::Failure& aFailure);
+
+} // namespace heatherdeal::kernel
