--- /dev/null
+++ b/src/configuration/configurationmodule.cpp
@@ -0,0 +1,74 @@
+#include "configuration/configurationmodule.h"
+
+#include "configuration/documentjson.h"
+#include "http/httpmodule.h"
+#include "kernel/plugin.h"
+#include "platform/platformmodule.h"
+
+namespace heatherdeal::configuration {
+
+namespace {
+
+struct NoSettings
+{};
+
+std::any
+ParseSettings(kernel::SettingsReader&)
+{
+  return NoSettings{};
+}
+
+boost::asio::awaitable<void>
+AnswerDocument(std::shared_ptr<Active> aActive, http::Exchange& aExchange)
+{
+  http::Answer answer;
+  answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
+  answer.m_body = ToJson(*aActive->Read());
+  co_await aExchange.Respond(std::move(answer));
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any&)
+{
+  auto active = std::make_shared<Active>(aContext.Metrics());
+  aContext.Provide(active);
+  aContext.Get<platform::ObjectStore>()->Watch(
+    std::string(kObjectKind),
+    [active](std::span<const platform::StoredObject> aObjects) {
+      for (const platform::StoredObject& object : aObjects) {
+        if (object.m_key.m_name == kObjectName) {
+          active->Offer(object.m_value);
+        }
+      }
+    });
+  aContext.Get<http::Server>()->AddRoute(
+    { "GET", "/v1/configuration", [active](http::Exchange& aExchange) {
+       return AnswerDocument(active, aExchange);
+     } });
+  return absl::OkStatus();
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  const auto document = aContext.Get<Active>()->Read();
+  return { { "generation", document->m_generation },
+           { "services", document->m_services.size() },
+           { "jobs", document->m_jobs.size() } };
+}
+
+constexpr std::string_view kNeeds[] = { http::kModuleName,
+                                        platform::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::configuration
--- /dev/null
+++ b/src/configuration/document.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/failure.h"
+#include "core/ids.h"
+#include "rollout/policy.h"
+
+namespace heatherdeal::configuration {
+
+/// A pool of engines that batch requests and load weights.
+struct ModelEngines
+{
+  /// Name of the weights in the weight store.
+  std::string m_weights;
+  /// Share of an engine's slots that training may use, in percent.
+  uint32_t m_trainingCeilingPercent = 70;
+  /// Share of the engines that stays in service during a weight change.
+  uint32_t m_floorPercent = 50;
+  /// Loads that the weight store allows at once.
+  uint32_t m_concurrentLoads = 2;
+};
+
+/// A pool of ordinary HTTP servers.
+struct PlainServers
+{};
+
+using UpstreamKind = std::variant<ModelEngines, PlainServers>;
+
+/// Routing policies; both count the host's own outstanding requests.
+struct TwoChoices
+{
+  /// How much busier, in percent of its slots, an upstream of the own
+  /// failure domain may be and still be preferred.
+  uint32_t m_domainPreferencePercent = 50;
+};
+
+struct RoundRobin
+{};
+
+struct LeastReported
+{};
+
+using RoutingPolicy = std::variant<TwoChoices, RoundRobin, LeastReported>;
+
+/// A service that callers reach through entry hosts.
+struct Service
+{
+  core::ServiceId m_name;
+  UpstreamKind m_kind = PlainServers{};
+  RoutingPolicy m_routing = TwoChoices{};
+  core::Duration m_callTime = std::chrono::seconds(30);
+  uint32_t m_attempts = 3;
+  /// Requests that one entry host carries at once.
+  uint32_t m_concurrency = 512;
+};
+
+/// Samples for one trainer.
+struct Job
+{
+  core::JobId m_name;
+  core::TrainerId m_trainer;
+  core::ServiceId m_service;
+  core::ServiceId m_scorer;
+  std::string m_promptsFile;
+  uint32_t m_shards = 1;
+  /// Share of the training slots against other jobs of the service.
+  uint32_t m_weight = 1;
+  rollout::ShardPolicy m_policy;
+};
+
+/// One whole configuration. A later one has a higher generation.
+struct Document
+{
+  uint64_t m_generation = 0;
+  std::vector<Service> m_services;
+  std::vector<Job> m_jobs;
+};
+
+const Service*
+FindService(const Document& aDocument, const core::ServiceId& aName);
+
+/// Every contradiction within the document; empty if it may be accepted.
+std::vector<core::InvalidSetting>
+Validate(const Document& aDocument);
+
+/// Contradictions between a document and the one that it would replace.
+std::vector<core::InvalidSetting>
+ValidateChange(const Document& aInForce, const Document& aOffered);
+
+/// What identifies a document: its generation and a hash of its content.
+struct Identity
+{
+  uint64_t m_generation = 0;
+  uint64_t m_digest = 0;
+};
+
+/// True if aOffered must replace aInForce.
+bool
+MustReplace(const Identity& aInForce, const Identity& aOffered);
+
+/// True if both have one generation and different contents: an operator has
+/// deleted and re-created the object.
+bool
+IsContradiction(const Identity& aInForce, const Identity& aOffered);
+
+} // namespace heatherdeal::configuration
--- /dev/null
+++ b/src/configuration/internal/active.cpp
@@ -0,0 +1,59 @@
+#include "configuration/active.h"
+
+#include "configuration/documentjson.h"
+#include "kernel/log.h"
+
+namespace heatherdeal::configuration {
+
+Active::Active(kernel::Counters& aCounters)
+  : m_counters(aCounters)
+{
+}
+
+void
+Active::Offer(std::string_view aText)
+{
+  ParsedDocument parsed = ParseDocument(aText);
+  if (!parsed.m_errors.empty()) {
+    m_counters.Get("configuration.invalid").Add();
+    kernel::LogFailure(
+      kernel::LogLevel::Error, "configuration", parsed.m_errors.front());
+    return;
+  }
+  const Identity offered = IdentityOf(parsed.m_document);
+  if (!MustReplace(m_identity, offered)) {
+    const bool contradicts = offered.m_generation < m_identity.m_generation ||
+                             IsContradiction(m_identity, offered);
+    if (contradicts) {
+      m_counters.Get("configuration.regressed").Add();
+      kernel::LogFailure(kernel::LogLevel::Warning,
+                         "configuration",
+                         core::GenerationRegressed{ m_identity.m_generation,
+                                                    offered.m_generation });
+    }
+    return;
+  }
+  m_identity = offered;
+  m_document.Publish(std::move(parsed.m_document));
+  m_counters.Get("configuration.accepted").Add();
+  kernel::Log(kernel::LogLevel::Info,
+              "configuration",
+              "event=in-force generation=" +
+                std::to_string(offered.m_generation));
+  const auto document = Read();
+  for (const Listener& listener : m_listeners) {
+    listener(*document);
+  }
+}
+
+void
+Active::Subscribe(Listener aListener)
+{
+  const auto document = Read();
+  if (document->m_generation > 0) {
+    aListener(*document);
+  }
+  m_listeners.push_back(std::move(aListener));
+}
+
+} // namespace heatherdeal::configuration
--- /dev/null
+++ b/src/configuration/internal/documentjson.cpp
@@ -0,0 +1,177 @@
+#include "configuration/documentjson.h"
+
+#include "boost/json/serialize.hpp"
+#include "xxhash.h"
+
+#include "configuration/internal/jobjson.h"
+#include "core/overloaded.h"
+#include "kernel/json.h"
+
+namespace heatherdeal::configuration {
+
+namespace {
+
+constexpr int64_t kMaxGeneration = INT64_MAX;
+constexpr int64_t kMaxAttempts = 10;
+constexpr int64_t kMaxConcurrency = 1'000'000;
+constexpr int64_t kMaxLoads = 10'000;
+constexpr int64_t kMaxMilliseconds = 3'600'000;
+constexpr kernel::Range kPercent{ 0, 100 };
+constexpr std::string_view kKinds[] = { "plain", "engine" };
+constexpr std::string_view kRoutings[] = { "two-choices",
+                                           "round-robin",
+                                           "least-reported" };
+
+UpstreamKind
+ParseKind(kernel::SettingsReader& aReader)
+{
+  if (aReader.ChoiceOr("kind", kKinds, 0) == 0) {
+    return PlainServers{};
+  }
+  ModelEngines engines;
+  engines.m_weights = aReader.Text("weights");
+  engines.m_trainingCeilingPercent = static_cast<uint32_t>(
+    aReader.IntegerOr("training_ceiling_percent", kPercent, 70));
+  engines.m_floorPercent =
+    static_cast<uint32_t>(aReader.IntegerOr("floor_percent", kPercent, 50));
+  engines.m_concurrentLoads = static_cast<uint32_t>(
+    aReader.IntegerOr("concurrent_loads", { 1, kMaxLoads }, 2));
+  return engines;
+}
+
+RoutingPolicy
+ParseRouting(kernel::SettingsReader& aReader)
+{
+  switch (aReader.ChoiceOr("routing", kRoutings, 0)) {
+    case 1:
+      return RoundRobin{};
+    case 2:
+      return LeastReported{};
+    default:
+      return TwoChoices{ static_cast<uint32_t>(
+        aReader.IntegerOr("domain_preference_percent", kPercent, 50)) };
+  }
+}
+
+Service
+ParseService(kernel::SettingsReader& aReader)
+{
+  Service service;
+  service.m_name.m_value = aReader.Text("name");
+  service.m_kind = ParseKind(aReader);
+  service.m_routing = ParseRouting(aReader);
+  service.m_callTime = aReader.MillisecondsOr(
+    "call_time_ms", { 1, kMaxMilliseconds }, service.m_callTime);
+  service.m_attempts = static_cast<uint32_t>(
+    aReader.IntegerOr("attempts", { 1, kMaxAttempts }, service.m_attempts));
+  service.m_concurrency = static_cast<uint32_t>(aReader.IntegerOr(
+    "concurrency", { 1, kMaxConcurrency }, service.m_concurrency));
+  return service;
+}
+
+boost::json::object
+ToObject(const Service& aService)
+{
+  boost::json::object object{ { "name", aService.m_name.m_value } };
+  std::visit(core::Overloaded{
+               [&object](const ModelEngines& aEngines) {
+                 object["kind"] = "engine";
+                 object["weights"] = aEngines.m_weights;
+                 object["training_ceiling_percent"] =
+                   aEngines.m_trainingCeilingPercent;
+                 object["floor_percent"] = aEngines.m_floorPercent;
+                 object["concurrent_loads"] = aEngines.m_concurrentLoads;
+               },
+               [&object](const PlainServers&) { object["kind"] = "plain"; } },
+             aService.m_kind);
+  std::visit(core::Overloaded{ [&object](const TwoChoices& aChoices) {
+                                object["routing"] = "two-choices";
+                                object["domain_preference_percent"] =
+                                  aChoices.m_domainPreferencePercent;
+                              },
+                               [&object](const RoundRobin&) {
+                                 object["routing"] = "round-robin";
+                               },
+                               [&object](const LeastReported&) {
+                                 object["routing"] = "least-reported";
+                               } },
+             aService.m_routing);
+  object["call_time_ms"] = ToMilliseconds(aService.m_callTime);
+  object["attempts"] = aService.m_attempts;
+  object["concurrency"] = aService.m_concurrency;
+  return object;
+}
+
+Document
+ReadDocument(kernel::SettingsReader& aReader)
+{
+  Document document;
+  document.m_generation = static_cast<uint64_t>(
+    aReader.IntegerOr("generation", { 0, kMaxGeneration }, 0));
+  const auto element = [&aReader](const boost::json::value& aValue,
+                                  std::string_view aPath,
+                                  auto aParse) {
+    kernel::SettingsReader reader(aValue, aPath, aReader.Errors());
+    return aParse(reader);
+  };
+  aReader.ForEach(
+    "services", [&](const boost::json::value& aValue, std::string_view aPath) {
+      document.m_services.push_back(element(aValue, aPath, ParseService));
+    });
+  aReader.ForEach(
+    "jobs", [&](const boost::json::value& aValue, std::string_view aPath) {
+      document.m_jobs.push_back(element(aValue, aPath, ParseJob));
+    });
+  return document;
+}
+
+} // namespace
+
+ParsedDocument
+ParseDocument(std::string_view aText)
+{
+  ParsedDocument parsed;
+  const absl::StatusOr<boost::json::value> value =
+    kernel::ParseJson(aText, "$");
+  if (!value.ok()) {
+    parsed.m_errors.push_back(
+      { "$", "(text)", std::string(value.status().message()) });
+    return parsed;
+  }
+  kernel::SettingsErrors errors;
+  {
+    kernel::SettingsReader reader(*value, "$", errors);
+    parsed.m_document = ReadDocument(reader);
+  }
+  parsed.m_errors = std::move(errors.m_errors);
+  if (parsed.m_errors.empty()) {
+    parsed.m_errors = Validate(parsed.m_document);
+  }
+  return parsed;
+}
+
+std::string
+ToJson(const Document& aDocument)
+{
+  boost::json::array services;
+  for (const Service& service : aDocument.m_services) {
+    services.push_back(ToObject(service));
+  }
+  boost::json::array jobs;
+  for (const Job& job : aDocument.m_jobs) {
+    jobs.push_back(ToObject(job));
+  }
+  const boost::json::value value{ { "generation", aDocument.m_generation },
+                                  { "services", std::move(services) },
+                                  { "jobs", std::move(jobs) } };
+  return boost::json::serialize(value);
+}
+
+Identity
+IdentityOf(const Document& aDocument)
+{
+  const std::string text = ToJson(aDocument);
+  return { aDocument.m_generation, XXH64(text.data(), text.size(), 0) };
+}
+
+} // namespace heatherdeal::configuration
--- /dev/null
+++ b/src/configuration/internal/jobjson.cpp
@@ -0,0 +1,183 @@
+#include "configuration/internal/jobjson.h"
+
+#include "core/overloaded.h"
+
+namespace heatherdeal::configuration {
+
+namespace {
+
+constexpr int64_t kMaxShards = 1024;
+constexpr int64_t kMaxGroups = 65536;
+constexpr int64_t kMaxSamples = 1024;
+constexpr int64_t kMaxBound = 1000;
+constexpr int64_t kMaxTokens = 10'000'000;
+constexpr int64_t kMaxWeight = 1000;
+constexpr int64_t kMaxMilliseconds = 3'600'000;
+constexpr double kMaxBatchesAhead = 100.0;
+constexpr std::string_view kStragglers[] = { "wait-for-all",
+                                             "out-of-order",
+                                             "migrate-late" };
+constexpr std::string_view kAdmissions[] = { "staleness",
+                                             "unlimited",
+                                             "synchronous" };
+
+constexpr std::string_view kAges[] = { "hold-batch", "make-again" };
+
+uint32_t
+Count(kernel::SettingsReader& aReader,
+      std::string_view aName,
+      int64_t aLeast,
+      int64_t aGreatest,
+      uint32_t aDefault)
+{
+  return static_cast<uint32_t>(
+    aReader.IntegerOr(aName, { aLeast, aGreatest }, aDefault));
+}
+
+rollout::StragglerPolicy
+ParseStraggler(kernel::SettingsReader& aReader)
+{
+  const size_t choice = aReader.ChoiceOr("straggler", kStragglers, 1);
+  const uint32_t extra = Count(aReader, "extra_groups", 0, kMaxGroups, 2);
+  const uint32_t late = Count(aReader, "late_groups", 0, kMaxGroups, 2);
+  const uint32_t gap = Count(aReader, "load_gap_percent", 0, 100, 30);
+  switch (choice) {
+    case 0:
+      return rollout::WaitForAll{};
+    case 2:
+      return rollout::MigrateLate{ extra, late, gap };
+    default:
+      return rollout::OutOfOrder{ extra };
+  }
+}
+
+rollout::AdmissionPolicy
+ParseAdmission(kernel::SettingsReader& aReader)
+{
+  const size_t choice = aReader.ChoiceOr("admission", kAdmissions, 0);
+  const double ahead =
+    aReader.NumberOr("batches_ahead", 0.1, kMaxBatchesAhead, 2.0);
+  switch (choice) {
+    case 1:
+      return rollout::UnlimitedAdmission{};
+    case 2:
+      return rollout::SynchronousAdmission{};
+    default:
+      return rollout::StalenessAdmission{ ahead };
+  }
+}
+
+rollout::AgePolicy
+ParseAge(kernel::SettingsReader& aReader)
+{
+  if (aReader.ChoiceOr("too_old", kAges, 0) == 1) {
+    return rollout::MakeAgain{};
+  }
+  return rollout::HoldBatch{};
+}
+
+void
+AddStraggler(boost::json::object& aObject,
+             const rollout::StragglerPolicy& aPolicy)
+{
+  std::visit(core::Overloaded{ [&](const rollout::WaitForAll&) {
+                                aObject["straggler"] = "wait-for-all";
+                              },
+                               [&](const rollout::OutOfOrder& aP) {
+                                 aObject["straggler"] = "out-of-order";
+                                 aObject["extra_groups"] = aP.m_extraGroups;
+                               },
+                               [&](const rollout::MigrateLate& aP) {
+                                 aObject["straggler"] = "migrate-late";
+                                 aObject["extra_groups"] = aP.m_extraGroups;
+                                 aObject["late_groups"] = aP.m_lateGroups;
+                                 aObject["load_gap_percent"] =
+                                   aP.m_loadGapPercent;
+                               } },
+             aPolicy);
+}
+
+void
+AddAdmission(boost::json::object& aObject,
+             const rollout::AdmissionPolicy& aPolicy)
+{
+  std::visit(core::Overloaded{ [&](const rollout::StalenessAdmission& aP) {
+                                aObject["admission"] = "staleness";
+                                aObject["batches_ahead"] = aP.m_batchesAhead;
+                              },
+                               [&](const rollout::UnlimitedAdmission&) {
+                                 aObject["admission"] = "unlimited";
+                               },
+                               [&](const rollout::SynchronousAdmission&) {
+                                 aObject["admission"] = "synchronous";
+                               } },
+             aPolicy);
+}
+
+} // namespace
+
+int64_t
+ToMilliseconds(core::Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+Job
+ParseJob(kernel::SettingsReader& aReader)
+{
+  Job job;
+  job.m_name.m_value = aReader.Text("name");
+  job.m_trainer.m_value = aReader.Text("trainer");
+  job.m_service.m_value = aReader.Text("service");
+  job.m_scorer.m_value = aReader.Text("scorer");
+  job.m_promptsFile = aReader.Text("prompts_file");
+  job.m_shards = Count(aReader, "shards", 1, kMaxShards, 1);
+  job.m_weight = Count(aReader, "weight", 1, kMaxWeight, 1);
+  rollout::ShardPolicy& policy = job.m_policy;
+  policy.m_groupsPerBatch =
+    Count(aReader, "groups_per_batch", 1, kMaxGroups, 8);
+  policy.m_samplesPerGroup =
+    Count(aReader, "samples_per_group", 1, kMaxSamples, 4);
+  policy.m_stalenessBound = Count(aReader, "staleness_bound", 0, kMaxBound, 2);
+  policy.m_maxTokens = Count(aReader, "max_tokens", 1, kMaxTokens, 4096);
+  policy.m_straggler = ParseStraggler(aReader);
+  policy.m_admission = ParseAdmission(aReader);
+  policy.m_age = ParseAge(aReader);
+  const kernel::Range range{ 1, kMaxMilliseconds };
+  policy.m_progressTime =
+    aReader.MillisecondsOr("progress_time_ms", range, policy.m_progressTime);
+  policy.m_scoringTime =
+    aReader.MillisecondsOr("scoring_time_ms", range, policy.m_scoringTime);
+  return job;
+}
+
+boost::json::object
+ToObject(const Job& aJob)
+{
+  const rollout::ShardPolicy& policy = aJob.m_policy;
+  boost::json::object object{
+    { "name", aJob.m_name.m_value },
+    { "trainer", aJob.m_trainer.m_value },
+    { "service", aJob.m_service.m_value },
+    { "scorer", aJob.m_scorer.m_value },
+    { "prompts_file", aJob.m_promptsFile },
+    { "shards", aJob.m_shards },
+    { "weight", aJob.m_weight },
+    { "groups_per_batch", policy.m_groupsPerBatch },
+    { "samples_per_group", policy.m_samplesPerGroup },
+    { "staleness_bound", policy.m_stalenessBound },
+    { "max_tokens", policy.m_maxTokens },
+    { "progress_time_ms", ToMilliseconds(policy.m_progressTime) },
+    { "scoring_time_ms", ToMilliseconds(policy.m_scoringTime) }
+  };
+  AddStraggler(object, policy.m_straggler);
+  AddAdmission(object, policy.m_admission);
+  object["too_old"] = std::visit(
+    core::Overloaded{ [](const rollout::HoldBatch&) { return "hold-batch"; },
+                      [](const rollout::MakeAgain&) { return "make-again"; } },
+    policy.m_age);
+  return object;
+}
+
+} // namespace heatherdeal::configuration
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -16,7 +16,6 @@
 // that holds the byte itself loses it, so that the fields stay apart.
 constexpr char kFieldEnd = '\x1f';
 
-
 void
 AppendField(std::string& aOut, std::string_view aField)
 {
@@ -98,8 +97,7 @@
 }
 
 template<typename Integer>
-  requires std::is_integral_v<Integer>
-std::string
+requires std::is_integral_v<Integer> std::string
 FieldText(Integer aField)
 {
   return std::to_string(aField);
@@ -119,7 +117,7 @@
 }
 
 template<typename Integer>
-  requires std::is_integral_v<Integer>
+requires std::is_integral_v<Integer>
 bool
 ParseField(std::string_view aText, Integer& aField)
 {
@@ -229,14 +227,13 @@
 ExecutedOf(const Failure& aFailure)
 {
   return std::visit(
-    Overloaded{
-      [](const ConnectionFailed& aF) { return aF.m_executed; },
-      [](const DeadlineExceeded& aF) { return aF.m_executed; },
-      [](const PeerRefused& aF) { return aF.m_executed; },
-      [](const AlreadySubmitted& aF) { return aF.m_executed; },
-      [](const TruncatedAnswer&) { return Executed::Unknown; },
-      [](const UnnamedVersion&) { return Executed::Yes; },
-      [](const auto&) { return Executed::No; } },
+    Overloaded{ [](const ConnectionFailed& aF) { return aF.m_executed; },
+                [](const DeadlineExceeded& aF) { return aF.m_executed; },
+                [](const PeerRefused& aF) { return aF.m_executed; },
+                [](const AlreadySubmitted& aF) { return aF.m_executed; },
+                [](const TruncatedAnswer&) { return Executed::Unknown; },
+                [](const UnnamedVersion&) { return Executed::Yes; },
+                [](const auto&) { return Executed::No; } },
     aFailure);
 }
 
--- a/src/core/tests/failuretest.cpp
+++ b/src/core/tests/failuretest.cpp
@@ -44,8 +44,9 @@
 
 TEST_CASE("a field cannot forge another field")
 {
-  const absl::Status status =
-    ToStatus(InvalidInput{ "a\x1f" "b", "c" });
+  const absl::Status status = ToStatus(InvalidInput{ "a\x1f"
+                                                     "b",
+                                                     "c" });
   const std::optional<Failure> back = FromStatus(status);
   REQUIRE(back.has_value());
   CHECK(std::get<InvalidInput>(*back).m_where == "ab");
--- a/src/core/tests/weightversiontest.cpp
+++ b/src/core/tests/weightversiontest.cpp
@@ -11,8 +11,8 @@
   AppendTokens(spans, 2, { 7 });
   AppendTokens(spans, 4, { 8 });
   AppendTokens(spans, 0, { 9 });
-  REQUIRE(spans == std::vector<VersionSpan>{ { 0, 5, { 7 } },
-                                             { 5, 9, { 8 } } });
+  REQUIRE(spans ==
+          std::vector<VersionSpan>{ { 0, 5, { 7 } }, { 5, 9, { 8 } } });
   CHECK(SpansCover(spans, 9));
   CHECK(OldestVersion(spans) == WeightVersion{ 7 });
 }
--- a/src/core/weightversion.cpp
+++ b/src/core/weightversion.cpp
@@ -39,7 +39,8 @@
   if (aSpans.empty()) {
     return {};
   }
-  const auto oldest = std::ranges::min_element(aSpans, {}, &VersionSpan::m_version);
+  const auto oldest =
+    std::ranges::min_element(aSpans, {}, &VersionSpan::m_version);
   return oldest->m_version;
 }
 
--- /dev/null
+++ b/src/forwarding/forwardingmodule.cpp
@@ -0,0 +1,46 @@
+#include "forwarding/forwardingmodule.h"
+
+#include "forwarding/internal/forwarder.h"
+#include "http/httpmodule.h"
+#include "kernel/plugin.h"
+#include "routing/routingmodule.h"
+
+namespace heatherdeal::forwarding {
+
+namespace {
+
+struct NoSettings
+{};
+
+std::any
+ParseSettings(kernel::SettingsReader&)
+{
+  return NoSettings{};
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any&)
+{
+  auto forwarder = std::make_shared<Forwarder>(aContext);
+  aContext.Get<http::Server>()->AddRoute(
+    { "*", "/apps/", [forwarder](http::Exchange& aExchange) {
+       return forwarder->Serve(aExchange);
+     } });
+  return absl::OkStatus();
+}
+
+constexpr std::string_view kNeeds[] = { http::kModuleName,
+                                        routing::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = nullptr,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::forwarding
--- /dev/null
+++ b/src/forwarding/internal/call.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <vector>
+
+#include "forwarding/internal/forwarder.h"
+
+namespace heatherdeal::forwarding {
+
+/// One caller's request on its way through the upstreams.
+class Call
+{
+public:
+  Call(Forwarder& aForwarder,
+       http::Exchange& aExchange,
+       std::shared_ptr<const routing::Pool> aPool,
+       std::shared_ptr<ServiceMeter> aMeter);
+  ~Call();
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+
+  boost::asio::awaitable<void> Run();
+
+private:
+  boost::asio::awaitable<absl::Status> Attempt();
+  boost::asio::awaitable<absl::Status> Relay(http::AnswerStream& aAnswer);
+  boost::asio::awaitable<absl::Status> RelayWhole(http::AnswerStream& aAnswer);
+  boost::asio::awaitable<absl::Status> RelayStream(http::AnswerStream& aAnswer);
+
+  http::Request ToUpstream() const;
+  NextStep Decide(const core::Failure& aFailure);
+  void NoteFailure(routing::Ticket& aTicket, const core::Failure& aFailure);
+  void NoteSuccess(routing::Ticket& aTicket);
+
+  Forwarder& m_forwarder;
+  http::Exchange& m_exchange;
+  std::shared_ptr<const routing::Pool> m_pool;
+  std::shared_ptr<ServiceMeter> m_meter;
+  CallFacts m_facts;
+  CallProgress m_progress;
+  std::vector<size_t> m_tried;
+  uint64_t m_fingerprint = 0;
+  /// The caller has gone or does not read; no upstream is to blame.
+  bool m_callerGone = false;
+};
+
+} // namespace heatherdeal::forwarding
--- a/src/http/httpmodule.cpp
+++ b/src/http/httpmodule.cpp
@@ -30,8 +30,8 @@
     static_cast<uint16_t>(aReader.Integer("port", { 0, kMaxPort }));
   settings.m_headerBytes = static_cast<uint32_t>(
     aReader.IntegerOr("header_bytes", { 256, kMaxHeaderBytes }, 16 * 1024));
-  settings.m_bodyBytes = static_cast<uint64_t>(aReader.IntegerOr(
-    "body_bytes", { 0, kMaxBodyBytes }, 8 * 1024 * 1024));
+  settings.m_bodyBytes = static_cast<uint64_t>(
+    aReader.IntegerOr("body_bytes", { 0, kMaxBodyBytes }, 8 * 1024 * 1024));
   settings.m_connections = static_cast<uint32_t>(
     aReader.IntegerOr("connections", { 1, kMaxConnections }, 4096));
   const kernel::Range range{ 1, kMaxMilliseconds };
@@ -90,10 +90,9 @@
   }
   Answer answer;
   answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
-  answer.m_body =
-    co_await asio::co_spawn(aServer->Kernel().Control().Context(),
-                            TakeDump(aServer->Kernel()),
-                            asio::use_awaitable);
+  answer.m_body = co_await asio::co_spawn(aServer->Kernel().Control().Context(),
+                                          TakeDump(aServer->Kernel()),
+                                          asio::use_awaitable);
   co_await aExchange.Respond(std::move(answer));
 }
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -114,6 +114,7 @@
   }
   aConnection.m_parser.emplace();
   aConnection.m_parser->body_limit(kMaxAnswerBytes);
+  aConnection.m_parser->skip(aRequest.m_method == "HEAD");
   co_await beast::http::async_read_header(aConnection.m_stream,
                                           aConnection.m_buffer,
                                           *aConnection.m_parser,
@@ -268,8 +269,8 @@
              Reuse aReuse,
              core::Instant aDeadline)
 {
-  absl::StatusOr<std::unique_ptr<AnswerStream>> stream = co_await Open(
-    std::move(aPeer), std::move(aRequest), aReuse, aDeadline);
+  absl::StatusOr<std::unique_ptr<AnswerStream>> stream =
+    co_await Open(std::move(aPeer), std::move(aRequest), aReuse, aDeadline);
   if (!stream.ok()) {
     co_return stream.status();
   }
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -122,8 +122,7 @@
     // Waits for the first byte without a hold, so that an idle connection
     // does not delay a shutdown.
     const size_t got = co_await m_stream.async_read_some(
-      m_buffer.prepare(1024),
-      asio::redirect_error(asio::use_awaitable, error));
+      m_buffer.prepare(1024), asio::redirect_error(asio::use_awaitable, error));
     m_buffer.commit(got);
     if (error) {
       co_return false;
@@ -146,8 +145,7 @@
   }
   m_server->Kernel().Metrics().Get("http.requests").Add();
   const bool keepAlive = parser.get().keep_alive() && !IsDraining();
-  Exchange exchange(
-    *this, ToRequest(parser.release()), m_loopIndex, keepAlive);
+  Exchange exchange(*this, ToRequest(parser.release()), m_loopIndex, keepAlive);
   m_stream.expires_never();
   co_await Handle(exchange);
   co_return exchange.HasEnded() && exchange.KeepAlive();
@@ -165,8 +163,8 @@
 asio::awaitable<void>
 Connection::Handle(Exchange& aExchange)
 {
-  const Handler* handler = m_server->FindHandler(
-    aExchange.Asked().m_method, aExchange.Asked().m_target);
+  const Handler* handler = m_server->FindHandler(aExchange.Asked().m_method,
+                                                 aExchange.Asked().m_target);
   if (handler == nullptr) {
     const core::Failure failure =
       core::NotFound{ std::string(PathOf(aExchange.Asked().m_target)) };
@@ -182,7 +180,8 @@
   }
   if (!thrown.empty()) {
     m_server->Kernel().Metrics().Get("http.handler_threw").Add();
-    kernel::Log(kernel::LogLevel::Error, "http", "event=handler-threw " + thrown);
+    kernel::Log(
+      kernel::LogLevel::Error, "http", "event=handler-threw " + thrown);
   }
   if (!aExchange.HasBegun()) {
     const core::Failure failure =
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -30,8 +30,7 @@
 private:
   /// False if the connection has to be closed.
   boost::asio::awaitable<bool> ServeOne();
-  boost::asio::awaitable<void> Refuse(core::Failure aFailure,
-                                      uint32_t aStatus);
+  boost::asio::awaitable<void> Refuse(core::Failure aFailure, uint32_t aStatus);
   boost::asio::awaitable<void> Handle(Exchange& aExchange);
 
   std::shared_ptr<Server> m_server;
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -133,25 +133,24 @@
 StatusOf(const core::Failure& aFailure)
 {
   return std::visit(
-    core::Overloaded{
-      [](const core::InvalidSetting&) { return 400U; },
-      [](const core::InvalidInput&) { return 400U; },
-      [](const core::Unauthorized&) { return 401U; },
-      [](const core::NotFound&) { return 404U; },
-      [](const core::VersionConflict&) { return 409U; },
-      [](const core::GenerationRegressed&) { return 409U; },
-      [](const core::StaleCursor&) { return 409U; },
-      [](const core::PullSuperseded&) { return 409U; },
-      [](const core::AlreadySubmitted&) { return 409U; },
-      [](const core::FenceRejected&) { return 409U; },
-      [](const core::WatchGap&) { return 410U; },
-      [](const core::NotOwner&) { return 421U; },
-      [](const core::Quarantined&) { return 422U; },
-      [](const core::Overload&) { return 429U; },
-      [](const core::DeadlineExceeded&) { return 504U; },
-      [](const core::NoUpstream&) { return 503U; },
-      [](const core::Draining&) { return 503U; },
-      [](const auto&) { return 502U; } },
+    core::Overloaded{ [](const core::InvalidSetting&) { return 400U; },
+                      [](const core::InvalidInput&) { return 400U; },
+                      [](const core::Unauthorized&) { return 401U; },
+                      [](const core::NotFound&) { return 404U; },
+                      [](const core::VersionConflict&) { return 409U; },
+                      [](const core::GenerationRegressed&) { return 409U; },
+                      [](const core::StaleCursor&) { return 409U; },
+                      [](const core::PullSuperseded&) { return 409U; },
+                      [](const core::AlreadySubmitted&) { return 409U; },
+                      [](const core::FenceRejected&) { return 409U; },
+                      [](const core::WatchGap&) { return 410U; },
+                      [](const core::NotOwner&) { return 421U; },
+                      [](const core::Quarantined&) { return 422U; },
+                      [](const core::Overload&) { return 429U; },
+                      [](const core::DeadlineExceeded&) { return 504U; },
+                      [](const core::NoUpstream&) { return 503U; },
+                      [](const core::Draining&) { return 503U; },
+                      [](const auto&) { return 502U; } },
     aFailure);
 }
 
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -19,7 +19,9 @@
 constexpr std::string_view kAnyMethod = "*";
 
 asio::awaitable<void>
-ServeConnection(std::shared_ptr<Server> aServer, tcp::socket aSocket, size_t aLoop)
+ServeConnection(std::shared_ptr<Server> aServer,
+                tcp::socket aSocket,
+                size_t aLoop)
 {
   Connection connection(
     std::move(aServer), boost::beast::tcp_stream(std::move(aSocket)), aLoop);
@@ -27,7 +29,8 @@
 }
 
 asio::awaitable<void>
-AcceptLoop(std::shared_ptr<Server> aServer, std::shared_ptr<tcp::acceptor> aAcceptor)
+AcceptLoop(std::shared_ptr<Server> aServer,
+           std::shared_ptr<tcp::acceptor> aAcceptor)
 {
   kernel::Context& context = aServer->Kernel();
   for (;;) {
@@ -112,11 +115,11 @@
   const std::string_view path = PathOf(aTarget);
   const Route* best = nullptr;
   for (const Route& route : m_routes) {
-    const bool matches = path.starts_with(route.m_prefix) &&
-                         (route.m_method == kAnyMethod ||
-                          route.m_method == aMethod);
-    if (matches && (best == nullptr ||
-                    route.m_prefix.size() > best->m_prefix.size())) {
+    const bool matches =
+      path.starts_with(route.m_prefix) &&
+      (route.m_method == kAnyMethod || route.m_method == aMethod);
+    if (matches &&
+        (best == nullptr || route.m_prefix.size() > best->m_prefix.size())) {
       best = &route;
     }
   }
--- a/src/kernel/internal/counters.cpp
+++ b/src/kernel/internal/counters.cpp
@@ -38,9 +38,7 @@
   for (const CounterReading& reading : aCounters.Read()) {
     std::string name = "heatherdeal_" + reading.m_name + "_total";
     std::ranges::replace_if(
-      name,
-      [](unsigned char aC) { return std::isalnum(aC) == 0; },
-      '_');
+      name, [](unsigned char aC) { return std::isalnum(aC) == 0; }, '_');
     text += "# TYPE " + name + " counter\n";
     text += name + " " + std::to_string(reading.m_value) + "\n";
   }
--- a/src/kernel/internal/log.cpp
+++ b/src/kernel/internal/log.cpp
@@ -35,12 +35,13 @@
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-  configuration.setGlobally(
-    el::ConfigurationType::Format,
-    "%datetime{%Y-%M-%dT%H:%m:%s.%g} " + std::string(aProcess) +
-      " %level %msg");
-  for (const LogLevel level :
-       { LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error }) {
+  configuration.setGlobally(el::ConfigurationType::Format,
+                            "%datetime{%Y-%M-%dT%H:%m:%s.%g} " +
+                              std::string(aProcess) + " %level %msg");
+  for (const LogLevel level : { LogLevel::Debug,
+                                LogLevel::Info,
+                                LogLevel::Warning,
+                                LogLevel::Error }) {
     if (level < aLeast) {
       configuration.set(
         ToLibraryLevel(level), el::ConfigurationType::Enabled, "false");
--- a/src/kernel/internal/plugin.cpp
+++ b/src/kernel/internal/plugin.cpp
@@ -76,9 +76,8 @@
   boost::json::object dump;
   for (const PluginDescriptor& plugin : Registry()) {
     if (plugin.m_dump != nullptr) {
-      dump[boost::json::string_view(plugin.m_name.data(),
-                                    plugin.m_name.size())] =
-        plugin.m_dump(aContext);
+      dump[boost::json::string_view(
+        plugin.m_name.data(), plugin.m_name.size())] = plugin.m_dump(aContext);
     }
   }
   return dump;
--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -55,11 +55,9 @@
 {
   cxxopts::Options options{ std::string(aProgram.m_name),
                             std::string(aProgram.m_summary) };
-  options.add_options()("h,help", "print this help")(
-    "version", "print the version")("settings",
-                                    "settings file in JSON",
-                                    cxxopts::value<std::string>(),
-                                    "FILE")(
+  options.add_options()("h,help", "print this help")("version",
+                                                     "print the version")(
+    "settings", "settings file in JSON", cxxopts::value<std::string>(), "FILE")(
     "check", "check the settings and exit");
   try {
     const cxxopts::ParseResult parsed = options.parse(aArgc, aArgv);
@@ -96,10 +94,8 @@
   settings.m_identity.m_address = aReader.TextOr("address", "127.0.0.1");
   settings.m_trafficThreads = static_cast<size_t>(
     aReader.IntegerOr("traffic_threads", { 1, kMaxTrafficThreads }, 2));
-  settings.m_drainLimit =
-    aReader.MillisecondsOr("drain_limit_ms",
-                           { 0, kMaxDrainLimitMilliseconds },
-                           kDefaultDrainLimit);
+  settings.m_drainLimit = aReader.MillisecondsOr(
+    "drain_limit_ms", { 0, kMaxDrainLimitMilliseconds }, kDefaultDrainLimit);
   settings.m_logLevel =
     static_cast<LogLevel>(aReader.ChoiceOr("log_level", kLevels, 1));
   return settings;
@@ -110,7 +106,7 @@
               std::span<const PluginDescriptor> aPlugins,
               SettingsErrors& aErrors)
 {
-  static const boost::json::value kEmptySection{ boost::json::object() };
+  static const boost::json::value kEmptySection = boost::json::object();
   ParsedSettings parsed;
   SettingsReader root(aDocument, "$", aErrors);
   const auto section = [&](std::string_view aName) {
@@ -147,7 +143,8 @@
 }
 
 void
-PrintErrors(const Program& aProgram, std::span<const core::InvalidSetting> aErrors)
+PrintErrors(const Program& aProgram,
+            std::span<const core::InvalidSetting> aErrors)
 {
   for (const core::InvalidSetting& error : aErrors) {
     std::cerr << aProgram.m_name << ": " << error.m_path << ": found "
@@ -191,7 +188,8 @@
     code = ExitCode::DrainTimedOut;
     aContext.Control().Stop();
   });
-  boost::asio::signal_set signals(aContext.Control().Context(), SIGTERM, SIGINT);
+  boost::asio::signal_set signals(
+    aContext.Control().Context(), SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code aError, int) {
     if (aError) {
       return;
@@ -199,9 +197,8 @@
     Log(LogLevel::Info, "kernel", "event=drain-started");
     drainTimer.Set(Now() + aDrainLimit);
     DrainPlugins(aContext, aPlugins);
-    aContext.Stopping().Request([&] {
-      aContext.Control().Post([&] { aContext.Control().Stop(); });
-    });
+    aContext.Stopping().Request(
+      [&] { aContext.Control().Post([&] { aContext.Control().Stop(); }); });
   });
   aContext.Control().Run();
   aContext.Traffic().Stop();
@@ -239,8 +236,7 @@
                  parsed.m_kernel.m_identity.m_host + "]",
                parsed.m_kernel.m_logLevel);
   Context context(parsed.m_kernel.m_identity, parsed.m_kernel.m_trafficThreads);
-  const absl::Status started =
-    StartPlugins(context, plugins, parsed.m_plugins);
+  const absl::Status started = StartPlugins(context, plugins, parsed.m_plugins);
   if (!started.ok()) {
     Log(LogLevel::Error, "kernel", "event=start-failed " + started.ToString());
     context.Traffic().Stop();
--- a/src/kernel/internal/settingsreader.cpp
+++ b/src/kernel/internal/settingsreader.cpp
@@ -94,15 +94,16 @@
 std::string
 SettingsReader::Text(std::string_view aName)
 {
-  if (Optional(aName) == nullptr) {
-    NoteMissing(aName, "a string");
+  const boost::json::value* value = Optional(aName);
+  if (value == nullptr) {
+    NoteMissing(aName, "a string that is not empty");
     return {};
   }
-  const std::string text = TextOr(aName, "");
-  if (text.empty()) {
-    Note(aName, *Optional(aName), "a string that is not empty");
+  if (!value->is_string() || value->get_string().empty()) {
+    Note(aName, *value, "a string that is not empty");
+    return {};
   }
-  return text;
+  return std::string(value->get_string());
 }
 
 std::string
@@ -159,7 +160,8 @@
     return aDefault;
   }
   boost::json::error_code error;
-  const double number = value->is_number() ? value->to_number<double>(error) : 0;
+  const double number =
+    value->is_number() ? value->to_number<double>(error) : 0;
   if (!value->is_number() || error || number < aLeast || number > aGreatest) {
     Note(aName,
          *value,
@@ -191,8 +193,7 @@
 {
   const auto fallback =
     std::chrono::duration_cast<std::chrono::milliseconds>(aDefault);
-  return std::chrono::milliseconds(
-    IntegerOr(aName, aRange, fallback.count()));
+  return std::chrono::milliseconds(IntegerOr(aName, aRange, fallback.count()));
 }
 
 size_t
@@ -205,9 +206,9 @@
     return aDefault;
   }
   const std::string_view text =
-    value->is_string() ? std::string_view(value->get_string().data(),
-                                          value->get_string().size())
-                       : std::string_view();
+    value->is_string()
+      ? std::string_view(value->get_string().data(), value->get_string().size())
+      : std::string_view();
   const auto found = std::ranges::find(aChoices, text);
   if (found != aChoices.end()) {
     return static_cast<size_t>(found - aChoices.begin());
@@ -224,14 +225,15 @@
 SettingsReader::TextsOr(std::string_view aName)
 {
   std::vector<std::string> texts;
-  ForEach(aName, [&](const boost::json::value& aElement, std::string_view aPath) {
-    if (aElement.is_string()) {
-      texts.emplace_back(aElement.get_string());
-      return;
-    }
-    m_errors.m_errors.push_back(
-      { std::string(aPath), Shown(aElement), "a string" });
-  });
+  ForEach(aName,
+          [&](const boost::json::value& aElement, std::string_view aPath) {
+            if (aElement.is_string()) {
+              texts.emplace_back(aElement.get_string());
+              return;
+            }
+            m_errors.m_errors.push_back(
+              { std::string(aPath), Shown(aElement), "a string" });
+          });
   return texts;
 }
 
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -22,8 +22,8 @@
   /// Plug-ins that start before this one.
   std::span<const std::string_view> m_needs;
   std::any (*m_parseSettings)(SettingsReader& aReader) = nullptr;
-  absl::Status (*m_start)(Context& aContext, const std::any& aSettings) =
-    nullptr;
+  absl::Status (*m_start)(Context& aContext,
+                          const std::any& aSettings) = nullptr;
   /// Begins a graceful shutdown; may be null.
   void (*m_drain)(Context& aContext) = nullptr;
   /// The plug-in's state for operators; may be null.
--- a/src/kernel/trafficthreads.h
+++ b/src/kernel/trafficthreads.h
@@ -21,7 +21,10 @@
   TrafficThreads& operator=(const TrafficThreads&) = delete;
 
   size_t Count() const { return m_loops.size(); }
-  boost::asio::io_context& Loop(size_t aIndex) { return m_loops[aIndex]->m_context; }
+  boost::asio::io_context& Loop(size_t aIndex)
+  {
+    return m_loops[aIndex]->m_context;
+  }
 
   /// The loops in turn; any thread may call.
   size_t NextIndex();
--- /dev/null
+++ b/src/lease/leaseclient.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "kernel/deadlinetimer.h"
+#include "lease/lease.h"
+#include "platform/objectstore.h"
+
+namespace heatherdeal::lease {
+
+/// Called on the control thread when the lease is granted or lost.
+struct LeaseCallbacks
+{
+  std::function<void(uint64_t aEpoch)> m_granted;
+  std::function<void(std::string_view aNewHolder)> m_lost;
+};
+
+/// Stands for one lease kept in the object API. Control thread only.
+class LeaseClient : public std::enable_shared_from_this<LeaseClient>
+{
+public:
+  LeaseClient(kernel::Context& aContext,
+              platform::ObjectKey aKey,
+              LeasePolicy aPolicy,
+              std::string aSelf,
+              LeaseCallbacks aCallbacks);
+
+  void Start();
+  void Resign();
+
+  const LeaseState& State() const { return m_state; }
+
+private:
+  void Feed(const LeaseEvent& aEvent);
+  void Run(const ReadRecord& aEffect);
+  void Run(const WriteRecord& aEffect);
+  void Run(const LeaseGranted& aEffect);
+  void Run(const LeaseLost& aEffect);
+
+  std::shared_ptr<platform::ObjectStore> m_store;
+  platform::ObjectKey m_key;
+  LeaseState m_state;
+  LeaseCallbacks m_callbacks;
+  kernel::DeadlineTimer m_timer;
+};
+
+} // namespace heatherdeal::lease
--- /dev/null
+++ b/src/operatortool/commands.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "core/ids.h"
+
+namespace heatherdeal::operatortool {
+
+/// Validates a document without sending it.
+struct CheckCommand
+{
+  std::string m_file;
+};
+
+/// Shows what a document would change.
+struct DiffCommand
+{
+  core::Endpoint m_store;
+  std::string m_file;
+};
+
+/// Submits a document as the next generation.
+struct ApplyCommand
+{
+  core::Endpoint m_store;
+  std::string m_file;
+  /// Refuse if the stored generation is another; nothing: take any.
+  std::optional<uint64_t> m_expectedGeneration;
+};
+
+/// Prints the stored document.
+struct ShowCommand
+{
+  core::Endpoint m_store;
+};
+
+/// Prints a process's state.
+struct DumpCommand
+{
+  core::Endpoint m_process;
+  std::string m_operatorToken;
+};
+
+using Command = std::
+  variant<CheckCommand, DiffCommand, ApplyCommand, ShowCommand, DumpCommand>;
+
+/// Exit codes of the tool.
+enum class ToolExit : int
+{
+  Ok = 0,
+  Differs = 1,
+  Usage = 2,
+  Invalid = 3,
+  Conflict = 4,
+  Unreachable = 5,
+};
+
+/// Runs the command and prints its result.
+ToolExit
+Run(const Command& aCommand);
+
+} // namespace heatherdeal::operatortool
--- /dev/null
+++ b/src/platform/objectstore.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+#include "core/ids.h"
+#include "http/client.h"
+#include "kernel/context.h"
+#include "platform/backoff.h"
+#include "platform/callbudget.h"
+#include "platform/object.h"
+
+namespace heatherdeal::platform {
+
+struct ObjectStoreSettings
+{
+  std::vector<core::Endpoint> m_endpoints;
+  CallBudgetPolicy m_budget;
+  BackoffPolicy m_backoff;
+  core::Duration m_callTime = std::chrono::seconds(2);
+  core::Duration m_watchTime = std::chrono::seconds(20);
+};
+
+/// Client of the platform's object API. Called on the control thread, and
+/// calls back on it.
+class ObjectStore : public std::enable_shared_from_this<ObjectStore>
+{
+public:
+  using ReadCallback = std::function<void(absl::StatusOr<StoredObject>)>;
+  using WriteCallback = std::function<void(absl::StatusOr<uint64_t>)>;
+  using WatchCallback = std::function<void(std::span<const StoredObject>)>;
+
+  ObjectStore(kernel::Context& aContext, ObjectStoreSettings aSettings);
+
+  /// An object that is not there is returned with version 0.
+  void Read(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone);
+
+  /// Writes if the object still has aIfVersion (0: does not exist). A reply
+  /// lost after the write took effect is found out by reading back: the
+  /// callback gets the version, a VersionConflict, or a failure with
+  /// Executed::Unknown if even reading back failed.
+  void Write(ObjectKey aKey,
+             uint64_t aIfVersion,
+             std::string aValue,
+             CallPriority aPriority,
+             WriteCallback aDone);
+
+  /// Calls back with every object of the kind, whenever one has changed.
+  /// Goes on until the process ends; a gap leads to a new list.
+  void Watch(std::string aKind, WatchCallback aChanged);
+
+private:
+  std::string NextToken();
+  core::Endpoint NextEndpoint();
+
+  kernel::Context& m_context;
+  ObjectStoreSettings m_settings;
+  CallBudgetState m_budget;
+  std::shared_ptr<http::Clients> m_clients;
+  uint64_t m_writes = 0;
+  size_t m_nextEndpoint = 0;
+};
+
+} // namespace heatherdeal::platform
--- /dev/null
+++ b/src/platform/platformmodule.cpp
@@ -0,0 +1,91 @@
+#include "platform/platformmodule.h"
+
+#include "http/httpmodule.h"
+#include "kernel/plugin.h"
+
+namespace heatherdeal::platform {
+
+namespace {
+
+constexpr int64_t kMaxPort = 65535;
+constexpr double kMaxCallsPerSecond = 2000.0;
+constexpr int64_t kMaxMilliseconds = 600'000;
+constexpr std::string_view kHostKind = "hosts";
+
+std::any
+ParseSettings(kernel::SettingsReader& aReader)
+{
+  ObjectStoreSettings settings;
+  aReader.ForEach(
+    "endpoints", [&](const boost::json::value& aValue, std::string_view aPath) {
+      kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+      core::Endpoint endpoint;
+      endpoint.m_address = element.TextOr("address", "127.0.0.1");
+      endpoint.m_port =
+        static_cast<uint16_t>(element.Integer("port", { 1, kMaxPort }));
+      settings.m_endpoints.push_back(endpoint);
+    });
+  if (settings.m_endpoints.empty()) {
+    aReader.Errors().m_errors.push_back(
+      { aReader.PathOf("endpoints"), "[]", "at least one endpoint" });
+  }
+  settings.m_budget.m_callsPerSecond =
+    aReader.NumberOr("calls_per_second", 0.1, kMaxCallsPerSecond, 20.0);
+  settings.m_budget.m_burst =
+    aReader.NumberOr("burst", 4.0, kMaxCallsPerSecond, 40.0);
+  const kernel::Range range{ 1, kMaxMilliseconds };
+  settings.m_callTime =
+    aReader.MillisecondsOr("call_time_ms", range, settings.m_callTime);
+  settings.m_watchTime =
+    aReader.MillisecondsOr("watch_time_ms", range, settings.m_watchTime);
+  settings.m_backoff.m_greatest = aReader.MillisecondsOr(
+    "backoff_max_ms", range, settings.m_backoff.m_greatest);
+  return settings;
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any& aSettings)
+{
+  const auto& settings = std::any_cast<const ObjectStoreSettings&>(aSettings);
+  auto store = std::make_shared<ObjectStore>(aContext, settings);
+  auto hosts = std::make_shared<Hosts>();
+  aContext.Provide(store);
+  aContext.Provide(hosts);
+  store->Watch(std::string(kHostKind),
+               [hosts, &aContext](std::span<const StoredObject> aObjects) {
+                 uint64_t invalid = 0;
+                 hosts->Replace(ParseHostList(aObjects, invalid));
+                 aContext.Metrics().Get("platform.invalid_host").Add(invalid);
+               });
+  return absl::OkStatus();
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  boost::json::array dump;
+  const auto entries = aContext.Get<Hosts>()->Read();
+  for (const HostEntry& entry : *entries) {
+    dump.push_back({ { "name", entry.m_name },
+                     { "service", entry.m_service },
+                     { "endpoint", http::ToText(entry.m_endpoint) },
+                     { "failure_domain", entry.m_failureDomain.m_value },
+                     { "leaving", entry.m_leaving } });
+  }
+  return { { "hosts", std::move(dump) } };
+}
+
+constexpr std::string_view kNeeds[] = { http::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::platform
--- /dev/null
+++ b/src/reports/reportsmodule.cpp
@@ -0,0 +1,91 @@
+#include "reports/reportsmodule.h"
+
+#include "configuration/configurationmodule.h"
+#include "http/httpmodule.h"
+#include "kernel/plugin.h"
+#include "platform/platformmodule.h"
+
+namespace heatherdeal::reports {
+
+namespace {
+
+constexpr int64_t kMaxIntervalMilliseconds = 60'000;
+constexpr core::Duration kDefaultInterval = std::chrono::milliseconds(500);
+
+struct ReportsSettings
+{
+  core::Duration m_interval = kDefaultInterval;
+};
+
+std::any
+ParseSettings(kernel::SettingsReader& aReader)
+{
+  ReportsSettings settings;
+  settings.m_interval = aReader.MillisecondsOr(
+    "interval_ms", { 10, kMaxIntervalMilliseconds }, settings.m_interval);
+  return settings;
+}
+
+/// The hosts that run a service of engines.
+std::vector<platform::HostEntry>
+EnginesOf(const configuration::Document& aDocument,
+          std::span<const platform::HostEntry> aHosts)
+{
+  std::vector<platform::HostEntry> engines;
+  for (const platform::HostEntry& host : aHosts) {
+    const configuration::Service* service =
+      configuration::FindService(aDocument, { host.m_service });
+    if (service != nullptr &&
+        std::holds_alternative<configuration::ModelEngines>(service->m_kind)) {
+      engines.push_back(host);
+    }
+  }
+  return engines;
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any& aSettings)
+{
+  const auto& settings = std::any_cast<const ReportsSettings&>(aSettings);
+  auto reports = std::make_shared<Reports>(aContext, settings.m_interval);
+  aContext.Provide(reports);
+  const auto active = aContext.Get<configuration::Active>();
+  const auto hosts = aContext.Get<platform::Hosts>();
+  const auto update = [reports, active, hosts] {
+    const auto entries = hosts->Read();
+    reports->SetEngines(EnginesOf(*active->Read(), *entries));
+  };
+  hosts->Subscribe(
+    [update](std::span<const platform::HostEntry>) { update(); });
+  active->Subscribe([update](const configuration::Document&) { update(); });
+  return absl::OkStatus();
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  boost::json::object dump;
+  for (const auto& [id, status] : aContext.Get<Reports>()->Latest()) {
+    dump[id.m_value] = { { "version", status.m_version.m_number },
+                         { "running", status.m_running },
+                         { "queued", status.m_queued } };
+  }
+  return dump;
+}
+
+constexpr std::string_view kNeeds[] = { configuration::kModuleName,
+                                        http::kModuleName,
+                                        platform::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::reports
--- /dev/null
+++ b/src/rollout/decisions/admission.cpp
@@ -0,0 +1,78 @@
+#include "rollout/decisions/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "core/overloaded.h"
+
+namespace heatherdeal::rollout {
+
+namespace {
+
+uint32_t
+ExtraGroups(const StragglerPolicy& aPolicy)
+{
+  return std::visit(
+    core::Overloaded{ [](const WaitForAll&) { return 0U; },
+                      [](const auto& aP) { return aP.m_extraGroups; } },
+    aPolicy);
+}
+
+size_t
+EngineSlots(const ShardState& aState)
+{
+  size_t slots = 0;
+  for (const auto& [id, engine] : aState.m_engines) {
+    slots += engine.m_report.m_slots;
+  }
+  return slots;
+}
+
+} // namespace
+
+size_t
+GroupsAllowed(const ShardState& aState)
+{
+  const ShardPolicy& policy = aState.m_policy;
+  return std::visit(
+    core::Overloaded{ [&policy](const StalenessAdmission& aAdmission) {
+                       const double groups =
+                         aAdmission.m_batchesAhead * policy.m_groupsPerBatch;
+                       return static_cast<size_t>(std::ceil(groups)) +
+                              ExtraGroups(policy.m_straggler);
+                     },
+                      [&](const UnlimitedAdmission&) {
+                        const size_t running =
+                          EngineSlots(aState) / policy.m_samplesPerGroup;
+                        return aState.m_delivery.m_ready.size() + running + 1;
+                      },
+                      [&policy](const SynchronousAdmission&) {
+                        return static_cast<size_t>(policy.m_groupsPerBatch);
+                      } },
+    policy.m_admission);
+}
+
+bool
+IsFreshEnough(const ShardState& aState, const EngineView& aEngine)
+{
+  const uint64_t behind = core::VersionsBehind(aEngine.m_report.m_version,
+                                               aState.m_delivery.m_newest);
+  const bool synchronous =
+    std::holds_alternative<SynchronousAdmission>(aState.m_policy.m_admission);
+  return behind <= (synchronous ? 0 : aState.m_policy.m_stalenessBound);
+}
+
+core::GroupOrdinal
+NextGroup(const ShardState& aState, core::GroupOrdinal aFrom)
+{
+  const auto& cursor = aState.m_delivery.m_cursor;
+  core::GroupOrdinal ordinal = aFrom;
+  while (aState.m_groups.contains(ordinal) ||
+         (cursor && delivery::Contains(cursor->m_done, ordinal))) {
+    ++ordinal;
+  }
+  return ordinal;
+}
+
+} // namespace heatherdeal::rollout
--- /dev/null
+++ b/src/rollout/decisions/shard.cpp
@@ -0,0 +1,505 @@
+#include "rollout/shard.h"
+
+#include <algorithm>
+
+#include "core/overloaded.h"
+#include "rollout/decisions/admission.h"
+#include "rollout/decisions/engines.h"
+#include "rollout/decisions/stragglers.h"
+#include "rollout/decisions/streams.h"
+
+namespace heatherdeal::rollout {
+
+namespace {
+
+using Effects = std::vector<ShardEffect>;
+
+delivery::DeliveryOrder
+OrderOf(const StragglerPolicy& aPolicy)
+{
+  return std::visit(
+    core::Overloaded{ [](const WaitForAll&) -> delivery::DeliveryOrder {
+                       return delivery::InOrder{};
+                     },
+                      [](const auto&) -> delivery::DeliveryOrder {
+                        return delivery::AnyOrder{};
+                      } },
+    aPolicy);
+}
+
+/// Restarts the samples of a group that the staleness bound rules out.
+void
+RestartTooOld(ShardState& aState,
+              core::GroupOrdinal aOrdinal,
+              GroupProgress& aGroup,
+              Effects& aEffects)
+{
+  for (uint32_t member = 0; member < aGroup.m_samples.size(); ++member) {
+    SampleProgress& sample = aGroup.m_samples[member];
+    const bool tooOld =
+      !sample.m_spans.empty() &&
+      core::VersionsBehind(core::OldestVersion(sample.m_spans),
+                           aState.m_delivery.m_newest) >
+        aState.m_policy.m_stalenessBound;
+    if (!tooOld) {
+      continue;
+    }
+    aState.m_totals.m_tooOld += 1;
+    Restart(aState, { aOrdinal, member }, sample, aEffects);
+    aGroup.m_stage = GroupStage::Generating;
+    aGroup.m_scoringRuns = false;
+    aGroup.m_scoringAttempt += 1;
+  }
+}
+
+void
+DropWholeGroup(ShardState& aState,
+               core::GroupOrdinal aOrdinal,
+               GroupProgress& aGroup,
+               Effects& aEffects)
+{
+  for (uint32_t member = 0; member < aGroup.m_samples.size(); ++member) {
+    Stop(aState, { aOrdinal, member }, aGroup.m_samples[member], aEffects);
+  }
+  aEffects.push_back(DropGroup{ aOrdinal });
+}
+
+/// Drops the groups in work that the trainer turned out to hold.
+void
+DropHeldGroups(ShardState& aState, Effects& aEffects)
+{
+  const delivery::DoneSet& done = aState.m_delivery.m_cursor->m_done;
+  for (auto it = aState.m_groups.begin(); it != aState.m_groups.end();) {
+    if (!delivery::Contains(done, it->first)) {
+      ++it;
+      continue;
+    }
+    for (const SampleProgress& sample : it->second.m_samples) {
+      aState.m_totals.m_wastedTokens += sample.m_tokens;
+    }
+    DropWholeGroup(aState, it->first, it->second, aEffects);
+    it = aState.m_groups.erase(it);
+  }
+}
+
+void
+Carry(ShardState& aState, delivery::SendBatch& aEffect, Effects& aEffects)
+{
+  (void)aState;
+  aEffects.push_back(std::move(aEffect));
+}
+
+void
+Carry(ShardState& aState, delivery::RefusePull& aEffect, Effects& aEffects)
+{
+  (void)aState;
+  aEffects.push_back(std::move(aEffect));
+}
+
+void
+Carry(ShardState& aState, delivery::ReleaseGroup& aEffect, Effects& aEffects)
+{
+  const auto found = aState.m_groups.find(aEffect.m_ordinal);
+  if (found == aState.m_groups.end()) {
+    return;
+  }
+  DropWholeGroup(aState, found->first, found->second, aEffects);
+  aState.m_groups.erase(found);
+}
+
+void
+Carry(ShardState& aState, delivery::RegenerateGroup& aEffect, Effects& aEffects)
+{
+  const auto found = aState.m_groups.find(aEffect.m_ordinal);
+  if (found == aState.m_groups.end()) {
+    return;
+  }
+  RestartTooOld(aState, found->first, found->second, aEffects);
+}
+
+void
+Carry(ShardState& aState, delivery::CursorReplaced&, Effects& aEffects)
+{
+  DropHeldGroups(aState, aEffects);
+}
+
+/// Hands an event to the delivery decisions and carries out their effects.
+void
+Deliver(ShardState& aState,
+        const delivery::DeliveryEvent& aEvent,
+        core::Instant aNow,
+        Effects& aEffects)
+{
+  std::vector<delivery::DeliveryEffect> effects;
+  delivery::Apply(aState.m_delivery, aEvent, aNow, effects);
+  for (delivery::DeliveryEffect& effect : effects) {
+    std::visit([&](auto& aTyped) { Carry(aState, aTyped, aEffects); }, effect);
+  }
+}
+
+/// True if the trainer's next version would make a sample too old.
+bool
+IsAtBound(const ShardState& aState, const SampleProgress& aSample)
+{
+  return !aSample.m_spans.empty() &&
+         core::VersionsBehind(core::OldestVersion(aSample.m_spans),
+                              aState.m_delivery.m_newest) >=
+           aState.m_policy.m_stalenessBound;
+}
+
+bool
+IsInWork(const GroupProgress& aGroup)
+{
+  return aGroup.m_stage == GroupStage::Generating ||
+         aGroup.m_stage == GroupStage::Scoring;
+}
+
+bool
+MustHold(const ShardState& aState)
+{
+  if (!std::holds_alternative<HoldBatch>(aState.m_policy.m_age)) {
+    return false;
+  }
+  return std::ranges::any_of(aState.m_groups, [&](const auto& aEntry) {
+    return IsInWork(aEntry.second) &&
+           std::ranges::any_of(aEntry.second.m_samples,
+                               [&](const SampleProgress& aSample) {
+                                 return IsAtBound(aState, aSample);
+                               });
+  });
+}
+
+void
+UpdateHold(ShardState& aState, core::Instant aNow, Effects& aEffects)
+{
+  const bool held = MustHold(aState);
+  if (held != aState.m_delivery.m_held) {
+    Deliver(aState, delivery::HoldChanged{ held }, aNow, aEffects);
+  }
+}
+
+core::WeightVersion
+OldestOf(const GroupProgress& aGroup)
+{
+  core::WeightVersion oldest =
+    core::OldestVersion(aGroup.m_samples.front().m_spans);
+  for (const SampleProgress& sample : aGroup.m_samples) {
+    oldest = std::min(oldest, core::OldestVersion(sample.m_spans));
+  }
+  return oldest;
+}
+
+void
+StartScoring(ShardState& aState,
+             core::GroupOrdinal aOrdinal,
+             GroupProgress& aGroup,
+             core::Instant aNow,
+             Effects& aEffects)
+{
+  aGroup.m_stage = GroupStage::Scoring;
+  aGroup.m_scoringRuns = true;
+  aGroup.m_scoringAttempt += 1;
+  aGroup.m_scoringDeadline = aNow + aState.m_policy.m_scoringTime;
+  aEffects.push_back(
+    ScoreGroup{ aOrdinal, aGroup.m_scoringAttempt, aGroup.m_scoringDeadline });
+}
+
+void
+ScoreIfWhole(ShardState& aState,
+             core::GroupOrdinal aOrdinal,
+             GroupProgress& aGroup,
+             core::Instant aNow,
+             Effects& aEffects)
+{
+  const bool whole =
+    std::ranges::all_of(aGroup.m_samples, [](const SampleProgress& aSample) {
+      return aSample.m_stage == SampleStage::Finished;
+    });
+  if (whole && aGroup.m_stage == GroupStage::Generating) {
+    StartScoring(aState, aOrdinal, aGroup, aNow, aEffects);
+  }
+}
+
+/// Gives up a group whose sample breaks every engine.
+void
+Abandon(ShardState& aState,
+        core::GroupOrdinal aOrdinal,
+        GroupProgress& aGroup,
+        core::Instant aNow,
+        Effects& aEffects)
+{
+  for (uint32_t member = 0; member < aGroup.m_samples.size(); ++member) {
+    Stop(aState, { aOrdinal, member }, aGroup.m_samples[member], aEffects);
+  }
+  aGroup.m_stage = GroupStage::Abandoned;
+  aState.m_totals.m_abandoned += 1;
+  Deliver(aState, delivery::GroupReady{ aOrdinal, {}, true }, aNow, aEffects);
+}
+
+void
+ScoringAttemptFailed(ShardState& aState,
+                     GroupProgress& aGroup,
+                     core::Instant aNow)
+{
+  aState.m_totals.m_scoringFailures += 1;
+  aGroup.m_scoringRuns = false;
+  aGroup.m_scoringDeadline = aNow + aState.m_policy.m_scoringRetryTime;
+}
+
+GroupProgress*
+FindScoring(ShardState& aState, core::GroupOrdinal aOrdinal, uint32_t aAttempt)
+{
+  const auto found = aState.m_groups.find(aOrdinal);
+  if (found == aState.m_groups.end() ||
+      found->second.m_stage != GroupStage::Scoring ||
+      !found->second.m_scoringRuns ||
+      found->second.m_scoringAttempt != aAttempt) {
+    aState.m_totals.m_lateEvents += 1;
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void
+On(ShardState& aState,
+   const EnginesReported& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  (void)aNow;
+  Merge(aState, aEvent);
+  RequeueLostEngines(aState, aEffects);
+}
+
+void
+On(ShardState& aState,
+   const TokensArrived& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  AcceptTokens(aState, aEvent, aNow, aEffects);
+}
+
+void
+On(ShardState& aState,
+   const StreamEnded& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  GroupProgress* group = EndStream(aState, aEvent, aNow, aEffects);
+  if (group != nullptr) {
+    ScoreIfWhole(aState, aEvent.m_sample.m_group, *group, aNow, aEffects);
+  }
+}
+
+void
+On(ShardState& aState,
+   const StreamFailed& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  GroupProgress* hopeless = FailStream(aState, aEvent, aNow);
+  if (hopeless != nullptr) {
+    Abandon(aState, aEvent.m_sample.m_group, *hopeless, aNow, aEffects);
+  }
+}
+
+void
+On(ShardState& aState,
+   const GroupScored& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  GroupProgress* group = FindScoring(aState, aEvent.m_group, aEvent.m_attempt);
+  if (group == nullptr) {
+    return;
+  }
+  if (aEvent.m_scores != group->m_samples.size()) {
+    ScoringAttemptFailed(aState, *group, aNow);
+    return;
+  }
+  group->m_stage = GroupStage::Ready;
+  group->m_scoringRuns = false;
+  Deliver(aState,
+          delivery::GroupReady{ aEvent.m_group, OldestOf(*group) },
+          aNow,
+          aEffects);
+}
+
+void
+On(ShardState& aState,
+   const ScoringFailed& aEvent,
+   core::Instant aNow,
+   Effects&)
+{
+  GroupProgress* group = FindScoring(aState, aEvent.m_group, aEvent.m_attempt);
+  if (group != nullptr) {
+    ScoringAttemptFailed(aState, *group, aNow);
+  }
+}
+
+void
+RetryScoring(ShardState& aState, core::Instant aNow, Effects& aEffects)
+{
+  for (auto& [ordinal, group] : aState.m_groups) {
+    if (group.m_stage != GroupStage::Scoring ||
+        group.m_scoringDeadline > aNow) {
+      continue;
+    }
+    if (group.m_scoringRuns) {
+      ScoringAttemptFailed(aState, group, aNow);
+      continue;
+    }
+    StartScoring(aState, ordinal, group, aNow, aEffects);
+  }
+}
+
+void
+On(ShardState& aState,
+   const TimerExpired&,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  RequeueStalled(aState, aNow, aEffects);
+  RetryScoring(aState, aNow, aEffects);
+  Deliver(aState, delivery::DeadlineCheck{}, aNow, aEffects);
+}
+
+void
+On(ShardState& aState, const DrainStarted&, core::Instant, Effects&)
+{
+  aState.m_draining = true;
+}
+
+void
+On(ShardState& aState,
+   const delivery::NewestVersionSeen& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  Deliver(aState, aEvent, aNow, aEffects);
+  for (auto& [ordinal, group] : aState.m_groups) {
+    if (IsInWork(group)) {
+      RestartTooOld(aState, ordinal, group, aEffects);
+    }
+  }
+}
+
+void
+On(ShardState& aState,
+   const delivery::PullArrived& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  // The pull's version decides about ages before the pull is answered.
+  const core::WeightVersion version = aEvent.m_cursor.m_version;
+  if (version > aState.m_delivery.m_newest) {
+    On(aState, delivery::NewestVersionSeen{ version }, aNow, aEffects);
+    UpdateHold(aState, aNow, aEffects);
+  }
+  Deliver(aState, aEvent, aNow, aEffects);
+}
+
+void
+On(ShardState& aState,
+   const delivery::OwnershipEnded& aEvent,
+   core::Instant aNow,
+   Effects& aEffects)
+{
+  Deliver(aState, aEvent, aNow, aEffects);
+  for (auto& [ordinal, group] : aState.m_groups) {
+    for (const SampleProgress& sample : group.m_samples) {
+      aState.m_totals.m_wastedTokens += sample.m_tokens;
+    }
+    DropWholeGroup(aState, ordinal, group, aEffects);
+  }
+  aState.m_groups.clear();
+  aState.m_delivery.m_ready.clear();
+  aState.m_draining = true;
+}
+
+/// Begins the groups that admission allows.
+void
+BeginGroups(ShardState& aState)
+{
+  // Before the first pull it is not known what the trainer holds.
+  if (aState.m_draining || !aState.m_delivery.m_cursor) {
+    return;
+  }
+  const size_t allowed = GroupsAllowed(aState);
+  core::GroupOrdinal next = aState.m_delivery.m_cursor->m_done.m_low;
+  while (aState.m_groups.size() < allowed) {
+    next = NextGroup(aState, next);
+    aState.m_groups[next].m_samples.resize(aState.m_policy.m_samplesPerGroup);
+  }
+}
+
+} // namespace
+
+ShardState
+MakeShard(const ShardPolicy& aPolicy,
+          const core::ShardId& aShard,
+          uint64_t aEpoch)
+{
+  ShardState state;
+  state.m_policy = aPolicy;
+  state.m_delivery.m_policy = { aPolicy.m_groupsPerBatch,
+                                aPolicy.m_stalenessBound,
+                                aPolicy.m_samplesPerGroup,
+                                OrderOf(aPolicy.m_straggler) };
+  state.m_delivery.m_shard = aShard;
+  state.m_delivery.m_epoch = aEpoch;
+  return state;
+}
+
+void
+Apply(ShardState& aState,
+      const ShardEvent& aEvent,
+      core::Instant aNow,
+      std::vector<ShardEffect>& aEffects)
+{
+  std::visit([&](const auto& aTyped) { On(aState, aTyped, aNow, aEffects); },
+             aEvent);
+  UpdateHold(aState, aNow, aEffects);
+  BeginGroups(aState);
+  MigrateStragglers(aState, aNow, aEffects);
+  StartQueued(aState, aNow, aEffects);
+}
+
+std::optional<core::Instant>
+NextDeadline(const ShardState& aState)
+{
+  std::optional<core::Instant> next = delivery::NextDeadline(aState.m_delivery);
+  const auto consider = [&next](core::Instant aDeadline) {
+    next = next ? std::min(*next, aDeadline) : aDeadline;
+  };
+  bool queued = false;
+  for (const auto& [ordinal, group] : aState.m_groups) {
+    if (group.m_stage == GroupStage::Scoring) {
+      consider(group.m_scoringDeadline);
+    }
+    for (const SampleProgress& sample : group.m_samples) {
+      if (sample.m_stage == SampleStage::Running) {
+        consider(sample.m_progressDeadline);
+      }
+      queued = queued || (sample.m_stage == SampleStage::Queued &&
+                          group.m_stage == GroupStage::Generating);
+    }
+  }
+  if (queued) {
+    for (const auto& [id, engine] : aState.m_engines) {
+      if (engine.m_failures > 0) {
+        consider(engine.m_suspectUntil);
+      }
+    }
+  }
+  return next;
+}
+
+bool
+HasWork(const ShardState& aState)
+{
+  return !aState.m_groups.empty();
+}
+
+} // namespace heatherdeal::rollout
--- /dev/null
+++ b/src/rollout/internal/pulljson.cpp
@@ -0,0 +1,115 @@
+#include "rollout/internal/pulljson.h"
+
+#include "boost/json/serialize.hpp"
+
+#include "kernel/json.h"
+
+namespace heatherdeal::rollout {
+
+namespace {
+
+constexpr size_t kMaxDoneAbove = 100'000;
+constexpr int64_t kMaxWaitMilliseconds = 120'000;
+constexpr int64_t kMaxShard = 1023;
+
+uint64_t
+Number(kernel::SettingsReader& aReader, std::string_view aName)
+{
+  return static_cast<uint64_t>(aReader.Integer(aName, { 0, INT64_MAX }));
+}
+
+delivery::DoneSet
+ParseDone(kernel::SettingsReader& aReader)
+{
+  delivery::DoneSet done;
+  done.m_low = Number(aReader, "done_low");
+  aReader.ForEach(
+    "done_above",
+    [&](const boost::json::value& aValue, std::string_view aPath) {
+      boost::json::error_code error;
+      const auto ordinal = aValue.to_number<uint64_t>(error);
+      if (error || done.m_above.size() >= kMaxDoneAbove) {
+        aReader.Errors().m_errors.push_back(
+          { std::string(aPath), "(value)", "a group's number" });
+        return;
+      }
+      done.m_above.push_back(ordinal);
+    });
+  if (!IsWellFormed(done)) {
+    aReader.Errors().m_errors.push_back(
+      { aReader.PathOf("done_above"), "(list)", "ascending, above done_low" });
+  }
+  return done;
+}
+
+PullMessage
+ReadPull(kernel::SettingsReader& aReader)
+{
+  PullMessage pull;
+  pull.m_shard.m_job.m_value = aReader.Text("job");
+  pull.m_shard.m_index =
+    static_cast<uint32_t>(aReader.IntegerOr("shard", { 0, kMaxShard }, 0));
+  pull.m_cursor.m_incarnation = Number(aReader, "incarnation");
+  pull.m_cursor.m_number = Number(aReader, "number");
+  pull.m_cursor.m_epoch = Number(aReader, "epoch");
+  pull.m_cursor.m_version.m_number = Number(aReader, "version");
+  pull.m_cursor.m_done = ParseDone(aReader);
+  pull.m_wait = aReader.MillisecondsOr(
+    "wait_ms", { 0, kMaxWaitMilliseconds }, std::chrono::seconds(10));
+  return pull;
+}
+
+boost::json::value
+ToValue(const core::Sample& aSample)
+{
+  boost::json::array spans;
+  for (const core::VersionSpan& span : aSample.m_spans) {
+    spans.push_back(
+      boost::json::array{ span.m_begin, span.m_end, span.m_version.m_number });
+  }
+  return { { "member", aSample.m_id.m_member },
+           { "text", aSample.m_text },
+           { "tokens", aSample.m_tokens },
+           { "spans", std::move(spans) },
+           { "score", aSample.m_score } };
+}
+
+boost::json::value
+ToValue(const core::Group& aGroup)
+{
+  boost::json::array samples;
+  for (const core::Sample& sample : aGroup.m_samples) {
+    samples.push_back(ToValue(sample));
+  }
+  return { { "ordinal", aGroup.m_ordinal },
+           { "prompt", aGroup.m_prompt },
+           { "samples", std::move(samples) } };
+}
+
+} // namespace
+
+absl::StatusOr<PullMessage>
+ParsePull(std::string_view aBody)
+{
+  return kernel::ParseMessage<PullMessage>(aBody, "pull", ReadPull);
+}
+
+std::string
+ToJson(const BatchAnswer& aAnswer)
+{
+  boost::json::array groups;
+  for (const core::Group& group : aAnswer.m_batch.m_groups) {
+    groups.push_back(ToValue(group));
+  }
+  boost::json::array abandoned;
+  for (const core::GroupOrdinal ordinal : aAnswer.m_abandoned) {
+    abandoned.emplace_back(ordinal);
+  }
+  return boost::json::serialize(
+    boost::json::value{ { "number", aAnswer.m_batch.m_number },
+                        { "epoch", aAnswer.m_batch.m_epoch },
+                        { "groups", std::move(groups) },
+                        { "abandoned", std::move(abandoned) } });
+}
+
+} // namespace heatherdeal::rollout
--- /dev/null
+++ b/src/rollout/internal/shards.cpp
@@ -0,0 +1,277 @@
+#include "rollout/internal/shards.h"
+
+#include <algorithm>
+
+#include "http/exchange.h"
+#include "http/server.h"
+#include "kernel/log.h"
+#include "rollout/internal/pulljson.h"
+#include "weights/newestversion.h"
+#include "weights/weightsobject.h"
+
+namespace heatherdeal::rollout {
+
+namespace {
+
+constexpr uint32_t kPercent = 100;
+constexpr core::Duration kReleaseTime = std::chrono::milliseconds(500);
+
+const configuration::ModelEngines*
+EnginesOf(const configuration::Document& aDocument,
+          const core::ServiceId& aService)
+{
+  const configuration::Service* service =
+    configuration::FindService(aDocument, aService);
+  return service == nullptr
+           ? nullptr
+           : std::get_if<configuration::ModelEngines>(&service->m_kind);
+}
+
+} // namespace
+
+Shards::Shards(kernel::Context& aContext, const RolloutSettings& aSettings)
+  : m_context(aContext)
+  , m_settings(aSettings)
+  , m_drainTimer(aContext.Control(), [this] { ResignAll(); })
+  , m_resignTimer(aContext.Control(), [this] { m_drainHold.reset(); })
+{
+}
+
+void
+Shards::Start()
+{
+  const auto server = m_context.Get<http::Server>();
+  m_services.m_context = &m_context;
+  m_services.m_lease = m_settings.m_lease;
+  m_services.m_self = { m_context.Self().m_address,
+                        server->Settings().m_listen.m_port };
+  m_services.m_mailbox = std::make_shared<kernel::Mailbox<ShardSignal>>(
+    m_context.Control(),
+    [weak = weak_from_this()](std::span<ShardSignal> aSignals) {
+      if (const auto self = weak.lock()) {
+        self->Handle(aSignals);
+      }
+    });
+  const auto self = shared_from_this();
+  server->AddRoute({ "POST", "/v1/pull", [self](http::Exchange& aExchange) {
+                      return self->Pull(aExchange);
+                    } });
+  m_context.Get<configuration::Active>()->Subscribe(
+    [self](const configuration::Document& aDocument) {
+      self->SetDocument(aDocument);
+    });
+  m_context.Get<platform::Hosts>()->Subscribe(
+    [self](std::span<const platform::HostEntry>) { self->UpdateEngines(); });
+  m_context.Get<reports::Reports>()->Subscribe(
+    [self](const reports::EngineStatus&) { self->UpdateEngines(); });
+  m_context.Get<platform::ObjectStore>()->Watch(
+    std::string(weights::kObjectKind),
+    [self](std::span<const platform::StoredObject> aObjects) {
+      self->SetVersions(aObjects);
+    });
+}
+
+void
+Shards::SetDocument(const configuration::Document& aDocument)
+{
+  for (const configuration::Job& job : aDocument.m_jobs) {
+    AddJob(job);
+  }
+  UpdateEngines();
+}
+
+void
+Shards::AddJob(const configuration::Job& aJob)
+{
+  if (m_owners.contains({ aJob.m_name, 0 })) {
+    return;
+  }
+  const auto prompts = ReadPrompts(aJob.m_promptsFile);
+  if (!prompts.ok()) {
+    m_context.Metrics().Get("rollout.invalid_prompts").Add();
+    kernel::LogFailure(
+      kernel::LogLevel::Error, "rollout", http::FailureOf(prompts.status()));
+    return;
+  }
+  for (uint32_t index = 0; index < aJob.m_shards; ++index) {
+    auto owner =
+      std::make_shared<ShardOwner>(m_services, aJob, index, *prompts);
+    m_owners[{ aJob.m_name, index }] = owner;
+    owner->Start();
+  }
+}
+
+uint32_t
+Shards::SlotsOf(const configuration::Job& aJob,
+                const platform::HostEntry& aHost) const
+{
+  const auto document = m_context.Get<configuration::Active>()->Read();
+  const auto* engines = EnginesOf(*document, aJob.m_service);
+  if (engines == nullptr) {
+    return 0;
+  }
+  uint32_t weights = 0;
+  for (const configuration::Job& job : document->m_jobs) {
+    if (job.m_service == aJob.m_service) {
+      weights += job.m_weight;
+    }
+  }
+  const uint32_t training =
+    aHost.m_slots * engines->m_trainingCeilingPercent / kPercent;
+  const uint32_t share =
+    training * aJob.m_weight / std::max(1U, weights) / aJob.m_shards;
+  return std::max(1U, share);
+}
+
+void
+Shards::UpdateEngines()
+{
+  for (const auto& [id, owner] : m_owners) {
+    UpdateEngines(*owner);
+  }
+}
+
+void
+Shards::UpdateEngines(ShardOwner& aOwner)
+{
+  const configuration::Job& job = aOwner.JobSettings();
+  const auto& latest = m_context.Get<reports::Reports>()->Latest();
+  std::vector<EngineReport> engines;
+  std::map<core::UpstreamId, core::Endpoint> endpoints;
+  std::vector<core::Endpoint> scorers;
+  const auto hosts = m_context.Get<platform::Hosts>()->Read();
+  for (const platform::HostEntry& host : *hosts) {
+    if (host.m_service == job.m_scorer.m_value && !host.m_leaving) {
+      scorers.push_back(host.m_endpoint);
+    }
+    const core::UpstreamId id{ host.m_name };
+    const auto status = latest.find(id);
+    // An engine is used once it has said which weights it serves.
+    if (host.m_service != job.m_service.m_value || status == latest.end()) {
+      continue;
+    }
+    engines.push_back({ id,
+                        SlotsOf(job, host),
+                        status->second.m_version,
+                        host.m_leaving || status->second.m_leaving });
+    endpoints[id] = host.m_endpoint;
+  }
+  aOwner.SetScorers(std::move(scorers));
+  aOwner.SetEngines(std::move(engines), std::move(endpoints));
+}
+
+void
+Shards::SetVersions(std::span<const platform::StoredObject> aObjects)
+{
+  const auto document = m_context.Get<configuration::Active>()->Read();
+  for (const platform::StoredObject& object : aObjects) {
+    const absl::StatusOr<core::WeightVersion> version =
+      weights::ParseNewestVersion(object);
+    if (version.ok()) {
+      m_versions[object.m_key.m_name] = *version;
+    }
+  }
+  for (const auto& [id, owner] : m_owners) {
+    const auto* engines = EnginesOf(*document, owner->JobSettings().m_service);
+    const auto found = engines == nullptr ? m_versions.end()
+                                          : m_versions.find(engines->m_weights);
+    if (found != m_versions.end()) {
+      owner->SetNewestVersion(found->second);
+    }
+  }
+}
+
+void
+Shards::Handle(std::span<ShardSignal> aSignals)
+{
+  for (ShardSignal& signal : aSignals) {
+    const auto owner = m_owners.find(signal.m_shard);
+    if (owner != m_owners.end()) {
+      owner->second->Handle(std::move(signal));
+      continue;
+    }
+    if (PullRequest* pull = std::get_if<PullRequest>(&signal.m_input)) {
+      pull->m_reply->Set(
+        core::Failure{ core::NotFound{ signal.m_shard.m_job.m_value } });
+    }
+  }
+}
+
+boost::asio::awaitable<void>
+Shards::Pull(http::Exchange& aExchange)
+{
+  absl::StatusOr<PullMessage> pull = ParsePull(aExchange.Asked().m_body);
+  if (!pull.ok()) {
+    m_context.Metrics().Get("rollout.invalid_pull").Add();
+    http::Answer refusal = http::FailureAnswer(http::FailureOf(pull.status()));
+    co_await aExchange.Respond(std::move(refusal));
+    co_return;
+  }
+  auto reply = std::make_shared<PullReply>(
+    m_context.Traffic().Loop(aExchange.LoopIndex()));
+  PullRequest request{ std::move(pull->m_cursor),
+                       kernel::Now() + pull->m_wait,
+                       reply };
+  m_services.m_mailbox->Push({ pull->m_shard, 0, std::move(request) });
+  const PullAnswer answered = co_await reply->Wait();
+  http::Answer answer;
+  if (const auto* failure = std::get_if<core::Failure>(&answered)) {
+    answer = http::FailureAnswer(*failure);
+  } else {
+    answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
+    answer.m_body = ToJson(std::get<BatchAnswer>(answered));
+  }
+  co_await aExchange.Respond(std::move(answer));
+}
+
+void
+Shards::StartDrain()
+{
+  m_drainHold = m_context.Stopping().Acquire();
+  bool hasWork = false;
+  for (const auto& [id, owner] : m_owners) {
+    owner->StartDrain();
+    hasWork =
+      hasWork || (owner->State() != nullptr && HasWork(*owner->State()));
+  }
+  m_drainTimer.Set(kernel::Now() +
+                   (hasWork ? m_settings.m_drainTime : core::Duration::zero()));
+}
+
+void
+Shards::ResignAll()
+{
+  for (const auto& [id, owner] : m_owners) {
+    owner->Resign();
+  }
+  // Leaves the release of the leases time to reach the store.
+  m_resignTimer.Set(kernel::Now() + kReleaseTime);
+}
+
+boost::json::value
+Shards::Dump() const
+{
+  boost::json::object dump;
+  for (const auto& [id, owner] : m_owners) {
+    boost::json::object shard;
+    shard["owner"] = std::string(lease::HolderOf(owner->Lease()));
+    if (const ShardState* state = owner->State()) {
+      shard["epoch"] = state->m_delivery.m_epoch;
+      shard["groups"] = state->m_groups.size();
+      shard["ready"] = state->m_delivery.m_ready.size();
+      shard["newest_version"] = state->m_delivery.m_newest.m_number;
+      shard["engines"] = state->m_engines.size();
+      shard["tokens"] = state->m_totals.m_tokens;
+      shard["wasted_tokens"] = state->m_totals.m_wastedTokens;
+      shard["resumes"] = state->m_totals.m_resumes;
+      shard["too_old"] = state->m_totals.m_tooOld;
+      shard["unnamed"] = state->m_totals.m_unnamed;
+      shard["abandoned"] = state->m_totals.m_abandoned;
+    }
+    dump[id.m_job.m_value + "/" + std::to_string(id.m_index)] =
+      std::move(shard);
+  }
+  return dump;
+}
+
+} // namespace heatherdeal::rollout
--- /dev/null
+++ b/src/routing/choice.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+
+#include "configuration/document.h"
+#include "core/ids.h"
+#include "core/instant.h"
+
+namespace heatherdeal::routing {
+
+/// What is known of an upstream when a request has to be sent.
+struct UpstreamFacts
+{
+  core::FailureDomainId m_failureDomain;
+  uint32_t m_slots = 1;
+  bool m_leaving = false;
+  core::Instant m_ejectedUntil{};
+  /// Requests of this host that it has not answered yet.
+  uint32_t m_outstanding = 0;
+  /// What it last said it was running, and when.
+  uint32_t m_reported = 0;
+  core::Instant m_reportedAt{};
+};
+
+/// Which upstreams a request has been sent to already.
+using TriedUpstreams = std::span<const size_t>;
+
+struct ChoiceRequest
+{
+  core::FailureDomainId m_ownDomain;
+  TriedUpstreams m_tried;
+  /// A fresh random number for each choice.
+  uint64_t m_ticket = 0;
+  core::Instant m_now{};
+};
+
+/// True if new work may be sent there now.
+bool
+IsUsable(const UpstreamFacts& aUpstream, core::Instant aNow);
+
+/// Index of the upstream to use; nothing if none may be used.
+std::optional<size_t>
+ChooseUpstream(std::span<const UpstreamFacts> aUpstreams,
+               const configuration::RoutingPolicy& aPolicy,
+               const ChoiceRequest& aRequest);
+
+} // namespace heatherdeal::routing
--- /dev/null
+++ b/src/routing/pool.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "configuration/active.h"
+#include "core/ids.h"
+#include "kernel/published.h"
+#include "platform/hosts.h"
+#include "routing/choice.h"
+#include "routing/ejection.h"
+
+namespace heatherdeal::routing {
+
+/// What traffic threads count and note of one upstream. It outlives changes
+/// of the host list.
+struct UpstreamMeter
+{
+  std::atomic<uint32_t> m_outstanding{ 0 };
+  std::atomic<uint32_t> m_reported{ 0 };
+  std::atomic<int64_t> m_reportedAt{ 0 };
+  std::atomic<int64_t> m_ejectedUntil{ 0 };
+  /// Set by the upstream's own word.
+  std::atomic<bool> m_leaving{ false };
+  std::mutex m_mutex;
+  EjectionState m_ejection;
+};
+
+struct Upstream
+{
+  core::UpstreamId m_id;
+  core::Endpoint m_endpoint;
+  core::FailureDomainId m_failureDomain;
+  uint32_t m_slots = 1;
+  bool m_leaving = false;
+  std::shared_ptr<UpstreamMeter> m_meter;
+};
+
+/// The upstreams of one service, as of one moment.
+struct Pool
+{
+  configuration::Service m_service;
+  std::vector<Upstream> m_upstreams;
+};
+
+struct Pools
+{
+  std::map<std::string, std::shared_ptr<const Pool>, std::less<>> m_byService;
+};
+
+/// An upstream chosen for one request; counts it as outstanding until it is
+/// dropped.
+class Ticket
+{
+public:
+  Ticket(std::shared_ptr<const Pool> aPool, size_t aIndex);
+  ~Ticket();
+  Ticket(const Ticket&) = delete;
+  Ticket& operator=(const Ticket&) = delete;
+
+  const Upstream& Chosen() const { return m_pool->m_upstreams[m_index]; }
+  size_t Index() const { return m_index; }
+
+  void Succeeded();
+  void Failed(core::Instant aNow);
+
+private:
+  std::shared_ptr<const Pool> m_pool;
+  size_t m_index;
+};
+
+/// Chooses upstreams; any thread may ask.
+class Router
+{
+public:
+  Router(std::string_view aOwnDomain, kernel::Counters& aCounters);
+
+  /// Control thread only.
+  void SetHosts(std::span<const platform::HostEntry> aHosts);
+  void SetDocument(const configuration::Document& aDocument);
+
+  /// Null if there is no such service.
+  std::shared_ptr<const Pool> Find(std::string_view aService) const;
+
+  /// Null if no upstream of the pool may be used.
+  std::unique_ptr<Ticket> Choose(const std::shared_ptr<const Pool>& aPool,
+                                 TriedUpstreams aTried,
+                                 core::Instant aNow);
+
+private:
+  void Rebuild();
+
+  core::FailureDomainId m_ownDomain;
+  kernel::Counters& m_counters;
+  std::atomic<uint64_t> m_ticket{ 0 };
+  std::vector<platform::HostEntry> m_hosts;
+  configuration::Document m_document;
+  std::map<core::UpstreamId, std::shared_ptr<UpstreamMeter>> m_meters;
+  kernel::Published<Pools> m_pools;
+};
+
+} // namespace heatherdeal::routing
--- /dev/null
+++ b/src/routing/routingmodule.cpp
@@ -0,0 +1,70 @@
+#include "routing/routingmodule.h"
+
+#include "configuration/configurationmodule.h"
+#include "kernel/plugin.h"
+#include "platform/platformmodule.h"
+
+namespace heatherdeal::routing {
+
+namespace {
+
+struct NoSettings
+{};
+
+std::any
+ParseSettings(kernel::SettingsReader&)
+{
+  return NoSettings{};
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any&)
+{
+  auto router = std::make_shared<Router>(aContext.Self().m_failureDomain,
+                                         aContext.Metrics());
+  aContext.Provide(router);
+  aContext.Get<platform::Hosts>()->Subscribe(
+    [router](std::span<const platform::HostEntry> aHosts) {
+      router->SetHosts(aHosts);
+    });
+  aContext.Get<configuration::Active>()->Subscribe(
+    [router](const configuration::Document& aDocument) {
+      router->SetDocument(aDocument);
+    });
+  return absl::OkStatus();
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  boost::json::object dump;
+  const auto document = aContext.Get<configuration::Active>()->Read();
+  for (const configuration::Service& service : document->m_services) {
+    boost::json::object upstreams;
+    const auto pool = aContext.Get<Router>()->Find(service.m_name.m_value);
+    for (const Upstream& upstream : pool->m_upstreams) {
+      upstreams[upstream.m_id.m_value] = {
+        { "outstanding", upstream.m_meter->m_outstanding.load() },
+        { "leaving", upstream.m_leaving }
+      };
+    }
+    dump[service.m_name.m_value] = std::move(upstreams);
+  }
+  return dump;
+}
+
+constexpr std::string_view kNeeds[] = { configuration::kModuleName,
+                                        platform::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::routing
--- /dev/null
+++ b/src/routing/routingmodule.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "routing/pool.h"
+
+namespace heatherdeal::routing {
+
+/// The plug-in exports Router.
+inline constexpr std::string_view kModuleName = "routing";
+
+} // namespace heatherdeal::routing
--- /dev/null
+++ b/src/weights/weightsmodule.cpp
@@ -0,0 +1,167 @@
+#include "weights/weightsmodule.h"
+
+#include "configuration/configurationmodule.h"
+#include "kernel/plugin.h"
+#include "lease/leasesettings.h"
+#include "platform/platformmodule.h"
+#include "reports/reportsmodule.h"
+#include "weights/internal/serviceweights.h"
+#include "weights/newestversion.h"
+#include "weights/weightsobject.h"
+
+namespace heatherdeal::weights {
+
+namespace {
+
+constexpr int64_t kMaxMilliseconds = 3'600'000;
+constexpr core::Duration kResignTime = std::chrono::milliseconds(500);
+
+/// The services of engines and their orders.
+struct Weights
+{
+  kernel::Context* m_context = nullptr;
+  WeightsSettings m_settings;
+  std::map<std::string, std::shared_ptr<ServiceWeights>, std::less<>>
+    m_services;
+  std::map<std::string, core::WeightVersion, std::less<>> m_targets;
+  std::unique_ptr<kernel::DeadlineTimer> m_drainTimer;
+  kernel::Shutdown::Hold m_drainHold;
+};
+
+std::any
+ParseSettings(kernel::SettingsReader& aReader)
+{
+  WeightsSettings settings;
+  settings.m_lease = lease::ParseLeasePolicy(aReader);
+  settings.m_orderTime = aReader.MillisecondsOr(
+    "order_time_ms", { 1, kMaxMilliseconds }, settings.m_orderTime);
+  return settings;
+}
+
+void
+AddService(Weights& aWeights, const configuration::Service& aService)
+{
+  std::shared_ptr<ServiceWeights>& weights =
+    aWeights.m_services[aService.m_name.m_value];
+  if (weights) {
+    weights->SetService(aService);
+    return;
+  }
+  weights = std::make_shared<ServiceWeights>(
+    *aWeights.m_context, aService, aWeights.m_settings);
+  const auto hosts = aWeights.m_context->Get<platform::Hosts>()->Read();
+  weights->SetHosts(*hosts);
+  const auto target = aWeights.m_targets.find(weights->WeightsName());
+  if (target != aWeights.m_targets.end()) {
+    weights->Feed(TargetSeen{ target->second });
+  }
+  weights->Start();
+}
+
+void
+SetDocument(Weights& aWeights, const configuration::Document& aDocument)
+{
+  for (const configuration::Service& service : aDocument.m_services) {
+    if (std::holds_alternative<configuration::ModelEngines>(service.m_kind)) {
+      AddService(aWeights, service);
+    }
+  }
+}
+
+void
+SetTargets(Weights& aWeights, std::span<const platform::StoredObject> aObjects)
+{
+  for (const platform::StoredObject& object : aObjects) {
+    const absl::StatusOr<core::WeightVersion> version =
+      ParseNewestVersion(object);
+    if (!version.ok()) {
+      aWeights.m_context->Metrics().Get("weights.invalid_object").Add();
+      continue;
+    }
+    core::WeightVersion& target = aWeights.m_targets[object.m_key.m_name];
+    target = std::max(target, *version);
+    for (const auto& [name, service] : aWeights.m_services) {
+      if (service->WeightsName() == object.m_key.m_name) {
+        service->Feed(TargetSeen{ target });
+      }
+    }
+  }
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any& aSettings)
+{
+  auto weights = std::make_shared<Weights>();
+  weights->m_context = &aContext;
+  weights->m_settings = std::any_cast<const WeightsSettings&>(aSettings);
+  aContext.Provide(weights);
+  aContext.Get<configuration::Active>()->Subscribe(
+    [weights](const configuration::Document& aDocument) {
+      SetDocument(*weights, aDocument);
+    });
+  aContext.Get<platform::Hosts>()->Subscribe(
+    [weights](std::span<const platform::HostEntry> aHosts) {
+      for (const auto& [name, service] : weights->m_services) {
+        service->SetHosts(aHosts);
+      }
+    });
+  aContext.Get<reports::Reports>()->Subscribe(
+    [weights](const reports::EngineStatus& aStatus) {
+      for (const auto& [name, service] : weights->m_services) {
+        service->Feed(VersionObserved{ aStatus.m_engine, aStatus.m_version });
+      }
+    });
+  aContext.Get<platform::ObjectStore>()->Watch(
+    std::string(kObjectKind),
+    [weights](std::span<const platform::StoredObject> aObjects) {
+      SetTargets(*weights, aObjects);
+    });
+  return absl::OkStatus();
+}
+
+void
+Drain(kernel::Context& aContext)
+{
+  const auto weights = aContext.Get<Weights>();
+  for (const auto& [name, service] : weights->m_services) {
+    service->Resign();
+  }
+  // Leaves the release of the leases time to reach the store.
+  weights->m_drainHold = aContext.Stopping().Acquire();
+  weights->m_drainTimer = std::make_unique<kernel::DeadlineTimer>(
+    aContext.Control(),
+    [weak = std::weak_ptr(weights)] { weak.lock()->m_drainHold.reset(); });
+  weights->m_drainTimer->Set(kernel::Now() + kResignTime);
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  boost::json::object dump;
+  for (const auto& [name, service] : aContext.Get<Weights>()->m_services) {
+    const WaveState& state = service->State();
+    dump[name] = { { "epoch", state.m_epoch },
+                   { "target", state.m_target.m_number },
+                   { "engines", state.m_engines.size() },
+                   { "at_target", EnginesAtTarget(state) },
+                   { "orders", state.m_orders } };
+  }
+  return dump;
+}
+
+constexpr std::string_view kNeeds[] = { configuration::kModuleName,
+                                        platform::kModuleName,
+                                        reports::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = Drain,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::weights
