Random faults against one shard on virtual time; two faults mended

Cause: the promises about samples need a proof that does not share the service's bookkeeping.

Found 2: a suspect engine whose time had passed, with work queued and no slot free, made NextDeadline answer an instant in the past: a timer that fires at once, again and again. The run hung; in a process it would have been a spinning control thread. The wave's NextDeadline had the same fault before the first target. Both only name instants to come now, and the virtual clock throws when time stands still.

Not covered: several shards, KV export and import, payload spill.

--- a/src/rollout/decisions/shard.cpp
+++ b/src/rollout/decisions/shard.cpp
@@ -427,10 +427,15 @@
     return;
   }
   const size_t allowed = GroupsAllowed(aState);
-  core::GroupOrdinal next = aState.m_delivery.m_cursor->m_done.m_low;
-  while (aState.m_groups.size() < allowed) {
-    next = NextGroup(aState, next);
+  const core::GroupOrdinal last =
+    aState.m_groups.empty() ? 0 : aState.m_groups.rbegin()->first;
+  core::GroupOrdinal next =
+    NextGroup(aState, aState.m_delivery.m_cursor->m_done.m_low);
+  // A trainer that went back to a checkpoint lacks groups below those in
+  // work. They are begun whatever the limit: batches in order wait for them.
+  while (aState.m_groups.size() < allowed || next < last) {
     aState.m_groups[next].m_samples.resize(aState.m_policy.m_samplesPerGroup);
+    next = NextGroup(aState, next);
   }
 }
 
@@ -467,7 +472,7 @@
 }
 
 std::optional<core::Instant>
-NextDeadline(const ShardState& aState)
+NextDeadline(const ShardState& aState, core::Instant aNow)
 {
   std::optional<core::Instant> next = delivery::NextDeadline(aState.m_delivery);
   const auto consider = [&next](core::Instant aDeadline) {
@@ -488,7 +493,8 @@
   }
   if (queued) {
     for (const auto& [id, engine] : aState.m_engines) {
-      if (engine.m_failures > 0) {
+      // One that has passed was acted on; there was no room then.
+      if (engine.m_suspectUntil > aNow) {
         consider(engine.m_suspectUntil);
       }
     }
--- a/src/rollout/internal/shardowner.cpp
+++ b/src/rollout/internal/shardowner.cpp
@@ -136,7 +136,8 @@
   for (const ShardEffect& effect : effects) {
     std::visit([this](const auto& aTyped) { Run(aTyped); }, effect);
   }
-  const std::optional<core::Instant> next = NextDeadline(*m_state);
+  const std::optional<core::Instant> next =
+    NextDeadline(*m_state, kernel::Now());
   if (next) {
     m_timer.Set(*next);
   }
--- a/src/rollout/shard.h
+++ b/src/rollout/shard.h
@@ -222,9 +222,9 @@
       core::Instant aNow,
       std::vector<ShardEffect>& aEffects);
 
-/// When a TimerExpired is due; nothing if none is.
+/// When a TimerExpired is due, after aNow; nothing if none is.
 std::optional<core::Instant>
-NextDeadline(const ShardState& aState);
+NextDeadline(const ShardState& aState, core::Instant aNow);
 
 /// True while a drain still has something to finish or to hand over.
 bool
--- /dev/null
+++ b/src/virtualworld/eventqueue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <vector>
+
+#include "core/instant.h"
+
+namespace heatherdeal::virtualworld {
+
+/// Runs tasks in the order of their instants; time passes only by them.
+class EventQueue
+{
+public:
+  using Task = std::function<void()>;
+
+  core::Instant Now() const { return m_now; }
+
+  /// Tasks of one instant run in the order in which they were added.
+  void At(core::Instant aInstant, Task aTask);
+  void After(core::Duration aDelay, Task aTask);
+
+  /// Runs what is due until aEnd; the time is aEnd afterwards. Throws
+  /// std::runtime_error if time stands still, as a spinning thread would.
+  void RunUntil(core::Instant aEnd);
+
+private:
+  struct Entry
+  {
+    core::Instant m_instant;
+    uint64_t m_sequence = 0;
+    Task m_task;
+
+    bool operator>(const Entry& aOther) const
+    {
+      return m_instant != aOther.m_instant ? m_instant > aOther.m_instant
+                                           : m_sequence > aOther.m_sequence;
+    }
+  };
+
+  core::Instant m_now{};
+  uint64_t m_sequence = 0;
+  std::priority_queue<Entry, std::vector<Entry>, std::greater<>> m_entries;
+};
+
+} // namespace heatherdeal::virtualworld
--- /dev/null
+++ b/src/virtualworld/fakestore.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "absl/status/statusor.h"
+
+#include "virtualworld/eventqueue.h"
+
+namespace heatherdeal::virtualworld {
+
+/// An object and the number of its last write.
+template<typename T>
+struct Versioned
+{
+  uint64_t m_version = 0;
+  T m_value;
+};
+
+/// The object API on virtual time, for objects of one type.
+template<typename T>
+class FakeStore
+{
+public:
+  using ReadDone = std::function<void(absl::StatusOr<Versioned<T>>)>;
+  using WriteDone = std::function<void(absl::StatusOr<uint64_t>)>;
+
+  FakeStore(EventQueue& aQueue, core::Duration aDelay)
+    : m_queue(aQueue)
+    , m_delay(aDelay)
+  {
+  }
+
+  void SetDown(bool aDown) { m_down = aDown; }
+  bool IsDown() const { return m_down; }
+  /// The next writes take effect and are not answered.
+  void LoseReplies(uint32_t aCount) { m_lostReplies = aCount; }
+  uint64_t Writes() const { return m_writes; }
+  uint64_t Reads() const { return m_reads; }
+
+  void Read(std::string aName, ReadDone aDone)
+  {
+    m_queue.After(m_delay, [this, aName, aDone] {
+      m_reads += 1;
+      absl::StatusOr<Versioned<T>> result = absl::UnavailableError("down");
+      if (!m_down) {
+        result = m_objects[aName];
+      }
+      m_queue.After(m_delay, [aDone, result] { aDone(result); });
+    });
+  }
+
+  void Write(std::string aName, uint64_t aIfVersion, T aValue, WriteDone aDone)
+  {
+    m_queue.After(m_delay, [this, aName, aIfVersion, aValue, aDone] {
+      m_writes += 1;
+      const absl::StatusOr<uint64_t> result = Apply(aName, aIfVersion, aValue);
+      m_queue.After(m_delay, [aDone, result] { aDone(result); });
+    });
+  }
+
+private:
+  absl::StatusOr<uint64_t> Apply(const std::string& aName,
+                                 uint64_t aIfVersion,
+                                 const T& aValue)
+  {
+    if (m_down) {
+      return absl::UnavailableError("down");
+    }
+    Versioned<T>& object = m_objects[aName];
+    if (object.m_version != aIfVersion) {
+      return absl::AbortedError("conflict");
+    }
+    object.m_version = ++m_lastVersion;
+    object.m_value = aValue;
+    if (m_lostReplies > 0) {
+      m_lostReplies -= 1;
+      return absl::UnavailableError("reply lost");
+    }
+    return object.m_version;
+  }
+
+  EventQueue& m_queue;
+  core::Duration m_delay;
+  bool m_down = false;
+  uint32_t m_lostReplies = 0;
+  uint64_t m_lastVersion = 0;
+  uint64_t m_reads = 0;
+  uint64_t m_writes = 0;
+  std::map<std::string, Versioned<T>> m_objects;
+};
+
+} // namespace heatherdeal::virtualworld
--- /dev/null
+++ b/src/virtualworld/virtualtrainer.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "delivery/trainercursor.h"
+#include "virtualworld/eventqueue.h"
+#include "virtualworld/payload.h"
+#include "virtualworld/worldsettings.h"
+
+namespace heatherdeal::virtualworld {
+
+/// What a trainer has been given and how long it waited.
+struct TrainerRecord
+{
+  std::set<core::SampleId> m_held;
+  std::vector<uint64_t> m_staleness;
+  std::vector<core::Duration> m_waits;
+  core::Duration m_trained{};
+  uint64_t m_batches = 0;
+  uint64_t m_rejected = 0;
+  uint64_t m_abandoned = 0;
+  /// Broken promises, in words; empty if all held.
+  std::vector<std::string> m_violations;
+};
+
+/// A trainer on virtual time. It checks every batch by itself.
+class VirtualTrainer
+{
+public:
+  VirtualTrainer(EventQueue& aQueue, const WorldSettings& aSettings);
+
+  /// Sends a pull to the host of that index.
+  std::function<void(size_t aHost, uint64_t aPull, const delivery::Cursor&)>
+    m_sendPull;
+  std::function<void(core::WeightVersion)> m_publish;
+  std::function<size_t(std::string_view aName)> m_hostOf;
+
+  void Start();
+  void Receive(uint64_t aPull, const PayloadBatch& aBatch);
+  void ReceiveRefusal(uint64_t aPull, const core::Failure& aFailure);
+  /// Goes back to the checkpoint of so many batches ago.
+  void RestoreCheckpoint(uint32_t aBatchesAgo);
+
+  const TrainerRecord& Record() const { return m_record; }
+  const delivery::Cursor& CursorNow() const { return m_cursor; }
+  core::Instant StartedAt() const { return m_startedAt; }
+  core::Instant LastBatchAt() const { return m_lastBatchAt; }
+
+private:
+  struct Checkpoint
+  {
+    delivery::Cursor m_cursor;
+    std::set<core::SampleId> m_held;
+  };
+
+  void Pull();
+  void PullSoon();
+  void Check(const PayloadBatch& aBatch);
+  void CheckSample(const core::SampleId& aId, const PayloadSample& aSample);
+  void Train();
+  void Violate(const core::SampleId& aId, std::string_view aWhat);
+
+  EventQueue& m_queue;
+  const WorldSettings& m_settings;
+  delivery::Cursor m_cursor;
+  TrainerRecord m_record;
+  std::deque<Checkpoint> m_checkpoints;
+  uint64_t m_pull = 0;
+  bool m_waiting = false;
+  bool m_training = false;
+  uint64_t m_incarnation = 0;
+  size_t m_host = 0;
+  uint64_t m_lastPublished = 0;
+  core::Instant m_waitingSince{};
+  core::Instant m_startedAt{};
+  core::Instant m_lastBatchAt{};
+};
+
+} // namespace heatherdeal::virtualworld
--- /dev/null
+++ b/src/virtualworld/world.cpp
@@ -0,0 +1,329 @@
+#include "virtualworld/world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace heatherdeal::virtualworld {
+
+namespace {
+
+constexpr uint64_t kMembers = 1024;
+
+std::string
+EngineName(size_t aIndex)
+{
+  return "engine-" + std::to_string(aIndex);
+}
+
+std::string
+HostName(size_t aIndex)
+{
+  return "host-" + std::to_string(aIndex);
+}
+
+/// Greatest distance between the two empirical distributions.
+double
+KolmogorovSmirnov(std::vector<uint32_t> aLeft, std::vector<uint32_t> aRight)
+{
+  if (aLeft.empty() || aRight.empty()) {
+    return 0.0;
+  }
+  std::ranges::sort(aLeft);
+  std::ranges::sort(aRight);
+  double distance = 0.0;
+  size_t left = 0;
+  size_t right = 0;
+  while (left < aLeft.size() && right < aRight.size()) {
+    const uint32_t value = std::min(aLeft[left], aRight[right]);
+    while (left < aLeft.size() && aLeft[left] <= value) {
+      ++left;
+    }
+    while (right < aRight.size() && aRight[right] <= value) {
+      ++right;
+    }
+    const double leftShare = static_cast<double>(left) / aLeft.size();
+    const double rightShare = static_cast<double>(right) / aRight.size();
+    distance = std::max(distance, std::abs(leftShare - rightShare));
+  }
+  return distance;
+}
+
+} // namespace
+
+World::World(const WorldSettings& aSettings)
+  : m_settings(aSettings)
+  , m_store(m_queue, m_settings.m_storeDelay)
+{
+  m_wave.m_policy = m_settings.m_wave;
+  for (size_t i = 0; i < m_settings.m_engines; ++i) {
+    const core::UpstreamId id{ EngineName(i) };
+    m_engines.emplace(id, FakeEngine(m_queue, m_settings, id));
+  }
+  for (size_t i = 0; i < m_settings.m_hosts; ++i) {
+    m_hosts.push_back(
+      std::make_unique<VirtualHost>(MakeSurroundings(), HostName(i)));
+  }
+  m_trainer = std::make_unique<VirtualTrainer>(m_queue, m_settings);
+  m_trainer->m_sendPull =
+    [this](size_t aHost, uint64_t aPull, const delivery::Cursor& aCursor) {
+      SendPull(aHost, aPull, aCursor);
+    };
+  m_trainer->m_publish = [this](core::WeightVersion aVersion) {
+    Publish(aVersion);
+  };
+  m_trainer->m_hostOf = [this](std::string_view aName) {
+    for (size_t i = 0; i < m_hosts.size(); ++i) {
+      if (m_hosts[i]->Name() == aName) {
+        return i;
+      }
+    }
+    return size_t{ 0 };
+  };
+}
+
+Surroundings
+World::MakeSurroundings()
+{
+  Surroundings around;
+  around.m_queue = &m_queue;
+  around.m_settings = &m_settings;
+  around.m_store = &m_store;
+  around.m_engines = &m_engines;
+  around.m_score = [this](core::GroupOrdinal, std::function<void(bool)> aDone) {
+    Score(std::move(aDone));
+  };
+  around.m_lengthOf = [this](const core::SampleId& aSample) {
+    return LengthOf(aSample);
+  };
+  around.m_sendBatch = [this](uint64_t aPull, PayloadBatch aBatch) {
+    if (m_lostAnswers > 0) {
+      m_lostAnswers -= 1;
+      return;
+    }
+    m_queue.After(m_settings.m_networkDelay + m_answerDelay,
+                  [this, aPull, batch = std::move(aBatch)] {
+                    m_trainer->Receive(aPull, batch);
+                  });
+  };
+  around.m_refusePull = [this](uint64_t aPull, const core::Failure& aFailure) {
+    m_queue.After(m_settings.m_networkDelay, [this, aPull, aFailure] {
+      m_trainer->ReceiveRefusal(aPull, aFailure);
+    });
+  };
+  around.m_nextKey = [this] { return ++m_nextKey; };
+  return around;
+}
+
+void
+World::Start()
+{
+  weights::EnginesListed listed;
+  for (const auto& [id, engine] : m_engines) {
+    listed.m_engines.push_back({ id, true, false });
+  }
+  FeedWave(listed);
+  FeedWave(weights::LeaseBegan{ 1 });
+  Report();
+  for (const auto& host : m_hosts) {
+    host->Start();
+  }
+  m_trainer->Start();
+}
+
+FakeEngine&
+World::Engine(size_t aIndex)
+{
+  return m_engines.at({ EngineName(aIndex % m_engines.size()) });
+}
+
+VirtualHost&
+World::Host(size_t aIndex)
+{
+  return *m_hosts[aIndex % m_hosts.size()];
+}
+
+VirtualHost*
+World::Owner()
+{
+  VirtualHost* owner = nullptr;
+  uint64_t epoch = 0;
+  for (const auto& host : m_hosts) {
+    const rollout::ShardState* state = host->State();
+    if (state != nullptr && state->m_delivery.m_epoch > epoch) {
+      owner = host.get();
+      epoch = state->m_delivery.m_epoch;
+    }
+  }
+  return owner;
+}
+
+void
+World::SetStoreDown(bool aDown)
+{
+  m_store.SetDown(aDown);
+  if (!aDown) {
+    SpreadVersion();
+  }
+}
+
+void
+World::SendPull(size_t aHost, uint64_t aPull, const delivery::Cursor& aCursor)
+{
+  m_queue.After(m_settings.m_networkDelay, [this, aHost, aPull, aCursor] {
+    VirtualHost& host = Host(aHost);
+    if (host.IsAlive()) {
+      host.Pull(aPull, aCursor);
+      return;
+    }
+    m_queue.After(m_settings.m_networkDelay, [this, aPull] {
+      m_trainer->ReceiveRefusal(aPull, core::NotOwner{});
+    });
+  });
+}
+
+void
+World::Score(std::function<void(bool)> aDone)
+{
+  const bool ok = !m_scorerDown;
+  m_queue.After(m_settings.m_scoringTime, [aDone, ok] { aDone(ok); });
+  if (m_scorerTwice) {
+    m_queue.After(2 * m_settings.m_scoringTime, [aDone, ok] { aDone(ok); });
+  }
+}
+
+void
+World::Publish(core::WeightVersion aVersion)
+{
+  m_published = std::max(m_published, aVersion);
+  SpreadVersion();
+}
+
+void
+World::SpreadVersion()
+{
+  // Watches see nothing while the store is down.
+  m_queue.After(m_settings.m_storeDelay, [this] {
+    if (m_store.IsDown()) {
+      return;
+    }
+    FeedWave(weights::TargetSeen{ m_published });
+    for (const auto& host : m_hosts) {
+      host->SetNewestVersion(m_published);
+    }
+  });
+}
+
+void
+World::Report()
+{
+  // Hosts see what the engines said one interval ago.
+  std::vector<rollout::EngineReport> reports;
+  for (const auto& [id, engine] : m_engines) {
+    if (engine.IsAlive()) {
+      reports.push_back(
+        { id, m_settings.m_slotsPerEngine, engine.Version(), false });
+    }
+  }
+  for (const auto& host : m_hosts) {
+    host->SetEngines(m_lastReports.empty() ? reports : m_lastReports);
+  }
+  for (const rollout::EngineReport& report : reports) {
+    FeedWave(weights::VersionObserved{ report.m_engine, report.m_version });
+  }
+  FeedWave(weights::WaveTimer{});
+  m_lastReports = std::move(reports);
+  m_queue.After(m_settings.m_reportEvery, [this] { Report(); });
+}
+
+void
+World::FeedWave(const weights::WaveEvent& aEvent)
+{
+  std::vector<weights::WaveEffect> effects;
+  weights::Apply(m_wave, aEvent, m_queue.Now(), effects);
+  for (const weights::WaveEffect& effect : effects) {
+    const auto& order = std::get<weights::OrderLoad>(effect);
+    m_queue.After(m_settings.m_networkDelay, [this, order] {
+      m_engines.at(order.m_engine).Order(order.m_version, order.m_fence);
+    });
+  }
+}
+
+uint32_t
+World::LengthOf(const core::SampleId& aSample) const
+{
+  const Lengths& lengths = m_settings.m_lengths;
+  std::mt19937_64 generator(m_settings.m_seed * 0x9e3779b97f4a7c15ULL +
+                            aSample.m_group * kMembers + aSample.m_member);
+  generator.discard(2);
+  std::lognormal_distribution<double> length(std::log(lengths.m_medianTokens),
+                                             lengths.m_sigma);
+  double tokens = length(generator);
+  if (lengths.m_tailEvery > 0 && generator() % lengths.m_tailEvery == 0) {
+    tokens *= lengths.m_tailFactor;
+  }
+  return std::max(1U, static_cast<uint32_t>(tokens));
+}
+
+double
+World::LengthBias() const
+{
+  // Delivered samples against all samples of the groups begun so far: what
+  // is left behind for being long shows as a distance.
+  const std::set<core::SampleId>& held = m_trainer->Record().m_held;
+  if (held.empty()) {
+    return 0.0;
+  }
+  std::vector<uint32_t> delivered;
+  for (const core::SampleId& sample : held) {
+    delivered.push_back(LengthOf(sample));
+  }
+  std::vector<uint32_t> all;
+  const core::GroupOrdinal last = held.rbegin()->m_group;
+  for (core::GroupOrdinal group = 0; group <= last; ++group) {
+    for (uint32_t i = 0; i < m_settings.m_shard.m_samplesPerGroup; ++i) {
+      all.push_back(LengthOf({ group, i }));
+    }
+  }
+  return KolmogorovSmirnov(std::move(delivered), std::move(all));
+}
+
+WorldFigures
+World::Figures() const
+{
+  const TrainerRecord& record = m_trainer->Record();
+  WorldFigures figures;
+  figures.m_batches = record.m_batches;
+  figures.m_samples = record.m_staleness.size();
+  core::Duration waited{};
+  for (const core::Duration wait : record.m_waits) {
+    waited += wait;
+  }
+  const double busy = static_cast<double>(record.m_trained.count());
+  const double idle = static_cast<double>(waited.count());
+  figures.m_idleShare = busy + idle > 0.0 ? idle / (busy + idle) : 0.0;
+  std::vector<uint64_t> staleness = record.m_staleness;
+  if (!staleness.empty()) {
+    std::ranges::sort(staleness);
+    double sum = 0.0;
+    for (const uint64_t value : staleness) {
+      sum += static_cast<double>(value);
+    }
+    figures.m_stalenessMean = sum / static_cast<double>(staleness.size());
+    figures.m_stalenessP99 = staleness[staleness.size() * 99 / 100];
+    figures.m_stalenessMax = staleness.back();
+  }
+  uint64_t made = 0;
+  for (const auto& [id, engine] : m_engines) {
+    made += engine.TokensMade();
+  }
+  uint64_t wasted = 0;
+  for (const auto& host : m_hosts) {
+    wasted += host->Totals().m_wastedTokens;
+  }
+  figures.m_wastedShare =
+    made == 0 ? 0.0 : static_cast<double>(wasted) / static_cast<double>(made);
+  figures.m_lengthBias = LengthBias();
+  return figures;
+}
+
+} // namespace heatherdeal::virtualworld
--- /dev/null
+++ b/src/virtualworld/world.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "virtualworld/fakeengine.h"
+#include "virtualworld/fakestore.h"
+#include "virtualworld/virtualhost.h"
+#include "virtualworld/virtualtrainer.h"
+#include "virtualworld/worldsettings.h"
+
+namespace heatherdeal::virtualworld {
+
+/// Figures of a run, for tests and benchmarks.
+struct WorldFigures
+{
+  double m_idleShare = 0.0;
+  double m_stalenessMean = 0.0;
+  uint64_t m_stalenessP99 = 0;
+  uint64_t m_stalenessMax = 0;
+  double m_wastedShare = 0.0;
+  /// Kolmogorov-Smirnov distance between the lengths of delivered samples
+  /// and those of all samples in the same range of groups.
+  double m_lengthBias = 0.0;
+  uint64_t m_batches = 0;
+  uint64_t m_samples = 0;
+};
+
+/// One shard with its hosts, engines, scorer, store and trainer on virtual
+/// time, driven by the real decisions.
+class World
+{
+public:
+  explicit World(const WorldSettings& aSettings);
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  void Start();
+  EventQueue& Queue() { return m_queue; }
+  const WorldSettings& Settings() const { return m_settings; }
+
+  FakeEngine& Engine(size_t aIndex);
+  size_t EngineCount() const { return m_engines.size(); }
+  VirtualHost& Host(size_t aIndex);
+  size_t HostCount() const { return m_hosts.size(); }
+  /// Null while nobody owns the shard.
+  VirtualHost* Owner();
+  VirtualTrainer& Trainer() { return *m_trainer; }
+  FakeStore<lease::LeaseRecord>& Store() { return m_store; }
+
+  void SetStoreDown(bool aDown);
+  void SetScorerDown(bool aDown) { m_scorerDown = aDown; }
+  void SetScorerTwice(bool aTwice) { m_scorerTwice = aTwice; }
+  /// The next answers to pulls are lost on their way.
+  void LoseAnswers(uint32_t aCount) { m_lostAnswers = aCount; }
+  /// Answers to pulls arrive so much later.
+  void DelayAnswers(core::Duration aDelay) { m_answerDelay = aDelay; }
+
+  uint32_t LengthOf(const core::SampleId& aSample) const;
+  WorldFigures Figures() const;
+
+private:
+  Surroundings MakeSurroundings();
+  void SendPull(size_t aHost, uint64_t aPull, const delivery::Cursor& aCursor);
+  void Score(std::function<void(bool)> aDone);
+  void Publish(core::WeightVersion aVersion);
+  void SpreadVersion();
+  void Report();
+  void FeedWave(const weights::WaveEvent& aEvent);
+  double LengthBias() const;
+
+  WorldSettings m_settings;
+  EventQueue m_queue;
+  FakeStore<lease::LeaseRecord> m_store;
+  std::map<core::UpstreamId, FakeEngine> m_engines;
+  std::vector<std::unique_ptr<VirtualHost>> m_hosts;
+  std::unique_ptr<VirtualTrainer> m_trainer;
+  weights::WaveState m_wave;
+  std::vector<rollout::EngineReport> m_lastReports;
+  core::WeightVersion m_published;
+  uint64_t m_nextKey = 0;
+  bool m_scorerDown = false;
+  bool m_scorerTwice = false;
+  uint32_t m_lostAnswers = 0;
+  core::Duration m_answerDelay{};
+};
+
+} // namespace heatherdeal::virtualworld
--- a/src/weights/decisions/wave.cpp
+++ b/src/weights/decisions/wave.cpp
@@ -192,11 +192,12 @@
   const auto consider = [&next](core::Instant aDeadline) {
     next = next ? std::min(*next, aDeadline) : aDeadline;
   };
-  const bool hasRoom = LoadsRunning(aState) < LoadsAllowed(aState);
+  const bool mayOrder = aState.m_epoch != 0 && aState.m_target.m_number != 0 &&
+                        LoadsRunning(aState) < LoadsAllowed(aState);
   for (const auto& [id, engine] : aState.m_engines) {
     if (engine.m_order) {
       consider(engine.m_order->m_deadline);
-    } else if (hasRoom && aState.m_epoch != 0 && NeedsOrder(aState, engine)) {
+    } else if (mayOrder && NeedsOrder(aState, engine)) {
       consider(OrdersFrom(aState, engine));
     }
   }
