--- /dev/null
+++ b/src/delivery/tests/trainercursortest.cpp
@@ -0,0 +1,60 @@
+#include "delivery/trainercursor.h"
+
+#include "catch2/catch.hpp"
+
+namespace heatherdeal::delivery {
+
+TEST_CASE("the done set keeps its low mark and what lies above it")
+{
+  DoneSet set;
+  for (const core::GroupOrdinal ordinal : { 2, 5, 0, 5, 1 }) {
+    Insert(set, ordinal);
+  }
+  CHECK(set == DoneSet{ 3, { 5 } });
+  Insert(set, 3);
+  Insert(set, 4);
+  CHECK(set == DoneSet{ 6, {} });
+  CHECK(Contains(set, 5));
+  CHECK_FALSE(Contains(set, 6));
+}
+
+TEST_CASE("a done set from outside is checked")
+{
+  CHECK(IsWellFormed({ 3, { 4, 7 } }));
+  CHECK_FALSE(IsWellFormed({ 3, { 3 } }));
+  CHECK_FALSE(IsWellFormed({ 3, { 7, 4 } }));
+  CHECK_FALSE(IsWellFormed({ 3, { 4, 4 } }));
+}
+
+TEST_CASE("a trainer takes only the next whole, fresh batch of a live owner")
+{
+  struct Case
+  {
+    const char* m_name;
+    BatchHead m_batch;
+    size_t m_rejection;
+  };
+  constexpr size_t kTaken = SIZE_MAX;
+  const Cursor cursor{ 1, 4, 2, { 10 }, { 8, { 9 } } };
+  const std::vector<Case> cases{
+    { "next", { 5, 2, { { 8, 4, { 9 } } }, {} }, kTaken },
+    { "newer owner", { 5, 3, { { 8, 4, { 8 } } }, {} }, kTaken },
+    { "number again", { 4, 2, { { 8, 4, { 9 } } }, {} }, 0 },
+    { "number ahead", { 6, 2, { { 8, 4, { 9 } } }, {} }, 0 },
+    { "replaced owner", { 5, 1, { { 8, 4, { 9 } } }, {} }, 1 },
+    { "group held", { 5, 2, { { 9, 4, { 9 } } }, {} }, 2 },
+    { "group twice", { 5, 2, { { 8, 4, { 9 } }, { 8, 4, { 9 } } }, {} }, 2 },
+    { "too old", { 5, 2, { { 8, 4, { 7 } } }, {} }, 3 },
+    { "lacks a sample", { 5, 2, { { 8, 3, { 9 } } }, {} }, 4 },
+  };
+  for (const Case& c : cases) {
+    INFO(c.m_name);
+    Cursor taking = cursor;
+    const auto rejection = Take(taking, c.m_batch, { 2, 4 });
+    CHECK((rejection ? rejection->index() : kTaken) == c.m_rejection);
+    CHECK(taking.m_number == (rejection ? 4U : 5U));
+    CHECK(Contains(taking.m_done, 8) == !rejection);
+  }
+}
+
+} // namespace heatherdeal::delivery
--- /dev/null
+++ b/src/discovery/tests/addressestest.cpp
@@ -0,0 +1,25 @@
+#include "discovery/addresses.h"
+
+#include "catch2/catch.hpp"
+
+namespace heatherdeal::discovery {
+
+TEST_CASE("addresses: nearest first, spread by ticket, none that leaves")
+{
+  const std::vector<Candidate> candidates{
+    { { "10.0.0.1", 1 }, { "a" }, false },
+    { { "10.0.0.2", 1 }, { "b" }, false },
+    { { "10.0.0.3", 1 }, { "b" }, true },
+    { { "10.0.0.4", 1 }, { "b" }, false },
+  };
+  const auto first = ChooseAddresses(candidates, "b", 0, 4);
+  REQUIRE(first.size() == 3);
+  CHECK(first[0].m_address == "10.0.0.2");
+  CHECK(first[1].m_address == "10.0.0.4");
+  CHECK(first[2].m_address == "10.0.0.1");
+  CHECK(ChooseAddresses(candidates, "b", 1, 1).front().m_address == "10.0.0.4");
+  CHECK(ChooseAddresses(candidates, "unknown", 0, 2).size() == 2);
+  CHECK(ChooseAddresses({}, "b", 0, 2).empty());
+}
+
+} // namespace heatherdeal::discovery
