--- a/src/lease/decisions/lease.cpp
+++ b/src/lease/decisions/lease.cpp
@@ -34,6 +34,27 @@
   Follow(aState, std::move(aRecord), aNow);
 }
 
+bool
+GoesOn(const LeaseState& aState)
+{
+  return std::holds_alternative<GoOnUntilTaken>(aState.m_policy.m_outage);
+}
+
+/// When a holder has to look again.
+void
+PlanHolding(LeaseState& aState, const Holding& aRole, core::Instant aNow)
+{
+  const bool overdue = aRole.m_stopAt <= aNow;
+  if (overdue) {
+    aState.m_nextStep =
+      std::max(aRole.m_renewAt, aNow + aState.m_policy.m_retryAfter);
+    return;
+  }
+  aState.m_nextStep = aRole.m_renewalWrittenAt
+                        ? aRole.m_stopAt
+                        : std::min(aRole.m_renewAt, aRole.m_stopAt);
+}
+
 void
 Acquire(LeaseState& aState,
         const LeaseRecord& aSeen,
@@ -171,7 +192,7 @@
   LeaseRecord record = aRole.m_record;
   record.m_version = aVersion;
   Hold(aState, std::move(record), writtenAt);
-  if (!MayAct(aState, aNow)) {
+  if (!MayAct(aState, aNow) && !GoesOn(aState)) {
     Lose(aState, std::nullopt, aNow, aEffects);
   }
 }
@@ -221,7 +242,7 @@
     aEffects.push_back(ReadRecord{});
   }
   aRole.m_renewAt = aNow + aState.m_policy.m_retryAfter;
-  aState.m_nextStep = std::min(aRole.m_renewAt, aRole.m_stopAt);
+  PlanHolding(aState, aRole, aNow);
 }
 
 template<typename Role>
@@ -261,17 +282,20 @@
 void
 Step(LeaseState& aState, Holding& aRole, core::Instant aNow, Effects& aEffects)
 {
-  if (aRole.m_stopAt <= aNow) {
+  const bool overdue = aRole.m_stopAt <= aNow;
+  if (overdue && !GoesOn(aState)) {
     Lose(aState, std::nullopt, aNow, aEffects);
     return;
   }
+  if (overdue) {
+    // A renewal that is still unanswered by now will not be.
+    aRole.m_renewalWrittenAt.reset();
+  }
   if (aRole.m_renewAt <= aNow && !aRole.m_renewalWrittenAt) {
     aRole.m_renewalWrittenAt = aNow;
     aEffects.push_back(WriteRecord{ aRole.m_record.m_version, aRole.m_record });
   }
-  aState.m_nextStep = aRole.m_renewalWrittenAt
-                        ? aRole.m_stopAt
-                        : std::min(aRole.m_renewAt, aRole.m_stopAt);
+  PlanHolding(aState, aRole, aNow);
 }
 
 void
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -11,6 +11,17 @@
 
 namespace heatherdeal::lease {
 
+/// The holder stops when it cannot renew in time.
+struct StopAtEnd
+{};
+
+/// The holder goes on while the store does not answer, until it learns of
+/// another. Only for work that two holders may do at once without harm.
+struct GoOnUntilTaken
+{};
+
+using OutagePolicy = std::variant<StopAtEnd, GoOnUntilTaken>;
+
 /// Durations of a lease; settings, the same for all candidates.
 struct LeasePolicy
 {
@@ -20,6 +31,7 @@
   /// The holder stops so long before the lease ends.
   core::Duration m_stopBefore = std::chrono::seconds(1);
   core::Duration m_retryAfter = std::chrono::milliseconds(500);
+  OutagePolicy m_outage = StopAtEnd{};
 };
 
 /// The lease as it stands in the store.
--- a/src/rollout/tests/shardpropertytest.cpp
+++ b/src/rollout/tests/shardpropertytest.cpp
@@ -106,6 +106,9 @@
   settings.m_shard.m_progressTime = seconds(4);
   settings.m_shard.m_straggler = StragglerOf(aStraggler);
   settings.m_wave.m_orderTime = seconds(4);
+  if (aSeed % 2 == 0) {
+    settings.m_lease.m_outage = lease::GoOnUntilTaken{};
+  }
   return settings;
 }
 
--- /dev/null
+++ b/src/scenario/parse.cpp
@@ -0,0 +1,267 @@
+#include <charconv>
+#include <functional>
+#include <map>
+
+#include "core/failure.h"
+#include "scenario/script.h"
+
+namespace heatherdeal::scenario {
+
+namespace {
+
+using Words = std::span<const std::string_view>;
+using namespace virtualworld;
+
+std::vector<std::string_view>
+SplitWords(std::string_view aLine)
+{
+  std::vector<std::string_view> words;
+  while (true) {
+    const size_t begin = aLine.find_first_not_of(" \t\r");
+    if (begin == std::string_view::npos) {
+      return words;
+    }
+    aLine.remove_prefix(begin);
+    const size_t end = aLine.find_first_of(" \t\r");
+    words.push_back(aLine.substr(0, end));
+    aLine.remove_prefix(words.back().size());
+  }
+}
+
+template<typename Number>
+bool
+ParseNumber(std::string_view aText, Number& aNumber)
+{
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, aNumber);
+  return error == std::errc() && rest == end;
+}
+
+/// Seconds or milliseconds, as in 2s, 2.5s and 300ms.
+bool
+ParseTime(std::string_view aText, core::Duration& aTime)
+{
+  double number = 0.0;
+  double unit = 1.0;
+  if (aText.ends_with("ms")) {
+    unit = 0.001;
+    aText.remove_suffix(2);
+  } else if (aText.ends_with("s")) {
+    aText.remove_suffix(1);
+  } else {
+    return false;
+  }
+  if (!ParseNumber(aText, number) || number < 0.0) {
+    return false;
+  }
+  aTime = std::chrono::duration_cast<core::Duration>(
+    std::chrono::duration<double>(number * unit));
+  return true;
+}
+
+bool
+ParseEngine(std::string_view aText, uint32_t& aEngine)
+{
+  constexpr std::string_view kPrefix = "engine-";
+  return aText.starts_with(kPrefix) &&
+         ParseNumber(aText.substr(kPrefix.size()), aEngine);
+}
+
+using FaultParser = bool (*)(Words, Fault&);
+
+/// "WORD engine-N for TIME"
+template<typename T>
+bool
+EngineFor(Words aWords, Fault& aFault)
+{
+  T fault;
+  core::Duration time{};
+  if (aWords.size() != 4 || aWords[2] != "for" ||
+      !ParseEngine(aWords[1], fault.m_engine) || !ParseTime(aWords[3], time)) {
+    return false;
+  }
+  aFault = T{ fault.m_engine, time };
+  return true;
+}
+
+/// "WORD engine-N COUNT"
+template<typename T>
+bool
+EngineCount(Words aWords, Fault& aFault)
+{
+  uint32_t engine = 0;
+  uint32_t count = 0;
+  if (aWords.size() != 3 || !ParseEngine(aWords[1], engine) ||
+      !ParseNumber(aWords[2], count)) {
+    return false;
+  }
+  aFault = T{ engine, count };
+  return true;
+}
+
+/// "WORD for TIME" or "WORD owner for TIME"
+template<typename T>
+bool
+For(Words aWords, Fault& aFault)
+{
+  const bool owner = aWords.size() > 1 && aWords[1] == "owner";
+  const Words rest = aWords.subspan(owner ? 2 : 1);
+  core::Duration time{};
+  if (rest.size() != 2 || rest[0] != "for" || !ParseTime(rest[1], time)) {
+    return false;
+  }
+  aFault = T{ time };
+  return true;
+}
+
+/// "WORD COUNT"
+template<typename T>
+bool
+Count(Words aWords, Fault& aFault)
+{
+  uint32_t count = 0;
+  if (aWords.size() != 2 || !ParseNumber(aWords[1], count)) {
+    return false;
+  }
+  aFault = T{ count };
+  return true;
+}
+
+bool
+Resign(Words aWords, Fault& aFault)
+{
+  aFault = ResignOwner{};
+  return aWords.size() == 2 && aWords[1] == "owner";
+}
+
+/// "delay-answers TIME for TIME"
+bool
+Delay(Words aWords, Fault& aFault)
+{
+  DelayAnswers fault;
+  if (aWords.size() != 4 || aWords[2] != "for" ||
+      !ParseTime(aWords[1], fault.m_delay) ||
+      !ParseTime(aWords[3], fault.m_time)) {
+    return false;
+  }
+  aFault = fault;
+  return true;
+}
+
+bool
+ParseFault(Words aWords, Fault& aFault)
+{
+  static const std::map<std::string_view, FaultParser> kParsers{
+    { "crash", EngineFor<CrashEngine> },
+    { "silence", EngineFor<SilenceEngine> },
+    { "slow", EngineFor<SlowEngine> },
+    { "omit-versions", EngineCount<OmitVersions> },
+    { "fail-loads", EngineCount<FailLoads> },
+    { "kill", For<KillOwner> },
+    { "pause", For<PauseOwner> },
+    { "resign", Resign },
+    { "store-down", For<StoreDown> },
+    { "lose-store-replies", Count<LoseStoreReplies> },
+    { "lose-answers", Count<LoseAnswers> },
+    { "delay-answers", Delay },
+    { "scorer-down", For<ScorerDown> },
+    { "scorer-twice", For<ScorerTwice> },
+    { "restore-trainer", Count<RestoreTrainer> },
+  };
+  if (aWords.empty()) {
+    return false;
+  }
+  const auto parser = kParsers.find(aWords.front());
+  return parser != kParsers.end() && parser->second(aWords, aFault);
+}
+
+bool
+ParseAt(Words aWords, StepAction& aAction)
+{
+  FaultStep step;
+  if (aWords.size() < 3 || !ParseTime(aWords[1], step.m_fault.m_at) ||
+      !ParseFault(aWords.subspan(2), step.m_fault.m_fault)) {
+    return false;
+  }
+  aAction = step;
+  return true;
+}
+
+bool
+ParseExpect(Words aWords, StepAction& aAction)
+{
+  const auto is = [&aWords](size_t aIndex, std::string_view aWord) {
+    return aIndex < aWords.size() && aWords[aIndex] == aWord;
+  };
+  const size_t count = aWords.size();
+  if (is(1, "batches") && is(3, "by") && count == 5) {
+    auto& parsed = aAction.emplace<ExpectBatches>();
+    return ParseNumber(aWords[2], parsed.m_batches) &&
+           ParseTime(aWords[4], parsed.m_by);
+  }
+  if (is(1, "group") && is(3, "held") && is(4, "by") && count == 6) {
+    auto& parsed = aAction.emplace<ExpectHeld>();
+    return ParseNumber(aWords[2], parsed.m_group) &&
+           ParseTime(aWords[5], parsed.m_by);
+  }
+  if (is(1, "group") && is(3, "missing") && is(4, "at") && count == 6) {
+    auto& parsed = aAction.emplace<ExpectMissing>();
+    return ParseNumber(aWords[2], parsed.m_group) &&
+           ParseTime(aWords[5], parsed.m_at);
+  }
+  if (is(1, "delivery") && is(2, "within") && is(4, "after") && count == 6) {
+    auto& parsed = aAction.emplace<ExpectDelivery>();
+    return ParseTime(aWords[3], parsed.m_within) &&
+           ParseTime(aWords[5], parsed.m_after);
+  }
+  if (is(1, "abandoned") && is(3, "by") && count == 5) {
+    auto& parsed = aAction.emplace<ExpectAbandoned>();
+    return ParseNumber(aWords[2], parsed.m_groups) &&
+           ParseTime(aWords[4], parsed.m_by);
+  }
+  if (is(1, "promises") && is(2, "at") && count == 4) {
+    return ParseTime(aWords[3], aAction.emplace<ExpectPromises>().m_at);
+  }
+  return false;
+}
+
+bool
+ParseLine(Words aWords, StepAction& aAction)
+{
+  if (aWords.front() == "set" && aWords.size() == 3) {
+    aAction = SetStep{ std::string(aWords[1]), std::string(aWords[2]) };
+    return true;
+  }
+  if (aWords.front() == "at") {
+    return ParseAt(aWords, aAction);
+  }
+  return aWords.front() == "expect" && ParseExpect(aWords, aAction);
+}
+
+} // namespace
+
+absl::StatusOr<std::vector<Step>>
+ParseScript(std::string_view aText)
+{
+  std::vector<Step> steps;
+  size_t number = 0;
+  while (!aText.empty()) {
+    number += 1;
+    const size_t end = aText.find('\n');
+    const std::string_view line = aText.substr(0, end);
+    aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
+    const std::vector<std::string_view> words = SplitWords(line);
+    if (words.empty() || words.front().starts_with('#')) {
+      continue;
+    }
+    Step step{ number, std::string(line), SetStep{} };
+    if (!ParseLine(words, step.m_action)) {
+      return core::ToStatus(core::InvalidInput{
+        "line " + std::to_string(number), "a step, found: " + step.m_text });
+    }
+    steps.push_back(std::move(step));
+  }
+  return steps;
+}
+
+} // namespace heatherdeal::scenario
--- /dev/null
+++ b/src/scenario/run.cpp
@@ -0,0 +1,216 @@
+#include <charconv>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "core/failure.h"
+#include "scenario/script.h"
+
+namespace heatherdeal::scenario {
+
+namespace {
+
+using virtualworld::World;
+using virtualworld::WorldSettings;
+
+/// A world that is small enough for scripts to run in a moment.
+WorldSettings
+DefaultWorld()
+{
+  using std::chrono::seconds;
+  WorldSettings settings;
+  settings.m_engines = 3;
+  settings.m_slotsPerEngine = 6;
+  settings.m_lengths.m_medianTokens = 80.0;
+  settings.m_chunkTokens = 16;
+  settings.m_trainTime = seconds(3);
+  settings.m_loadTime = seconds(1);
+  settings.m_pullWait = seconds(4);
+  settings.m_pullTime = seconds(6);
+  settings.m_shard.m_groupsPerBatch = 3;
+  settings.m_shard.m_samplesPerGroup = 2;
+  settings.m_shard.m_stalenessBound = 2;
+  settings.m_shard.m_progressTime = seconds(4);
+  settings.m_wave.m_orderTime = seconds(4);
+  settings.m_lease.m_outage = lease::GoOnUntilTaken{};
+  return settings;
+}
+
+bool
+ApplyStraggler(WorldSettings& aSettings, std::string_view aValue)
+{
+  rollout::StragglerPolicy& policy = aSettings.m_shard.m_straggler;
+  if (aValue == "wait-for-all") {
+    policy = rollout::WaitForAll{};
+  } else if (aValue == "out-of-order") {
+    policy = rollout::OutOfOrder{};
+  } else if (aValue == "migrate-late") {
+    policy = rollout::MigrateLate{};
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool
+ApplyAge(WorldSettings& aSettings, std::string_view aValue)
+{
+  if (aValue == "hold-batch") {
+    aSettings.m_shard.m_age = rollout::HoldBatch{};
+  } else if (aValue == "make-again") {
+    aSettings.m_shard.m_age = rollout::MakeAgain{};
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool
+ApplyNumber(WorldSettings& aSettings, std::string_view aName, uint32_t aNumber)
+{
+  const std::map<std::string_view, std::function<void()>> setters{
+    { "seed", [&] { aSettings.m_seed = aNumber; } },
+    { "stop-at-lease-end",
+      [&] { aSettings.m_lease.m_outage = lease::StopAtEnd{}; } },
+    { "engines", [&] { aSettings.m_engines = aNumber; } },
+    { "hosts", [&] { aSettings.m_hosts = aNumber; } },
+    { "slots", [&] { aSettings.m_slotsPerEngine = aNumber; } },
+    { "median-tokens", [&] { aSettings.m_lengths.m_medianTokens = aNumber; } },
+    { "tail-factor", [&] { aSettings.m_lengths.m_tailFactor = aNumber; } },
+    { "train-seconds",
+      [&] { aSettings.m_trainTime = std::chrono::seconds(aNumber); } },
+    { "staleness-bound",
+      [&] { aSettings.m_shard.m_stalenessBound = aNumber; } },
+    { "crash-limit", [&] { aSettings.m_shard.m_crashLimit = aNumber; } },
+    { "progress-seconds",
+      [&] {
+        aSettings.m_shard.m_progressTime = std::chrono::seconds(aNumber);
+      } },
+  };
+  const auto setter = setters.find(aName);
+  if (setter == setters.end()) {
+    return false;
+  }
+  setter->second();
+  return true;
+}
+
+bool
+ApplySetting(WorldSettings& aSettings, const SetStep& aStep)
+{
+  if (aStep.m_name == "straggler") {
+    return ApplyStraggler(aSettings, aStep.m_value);
+  }
+  if (aStep.m_name == "too-old") {
+    return ApplyAge(aSettings, aStep.m_value);
+  }
+  uint32_t number = 0;
+  const char* end = aStep.m_value.data() + aStep.m_value.size();
+  const auto [rest, error] = std::from_chars(aStep.m_value.data(), end, number);
+  return error == std::errc() && rest == end &&
+         ApplyNumber(aSettings, aStep.m_name, number);
+}
+
+/// Runs the steps of one script in turn.
+struct Runner
+{
+  World m_world;
+  std::vector<UnmetStep> m_unmet;
+  const Step* m_step = nullptr;
+
+  explicit Runner(const WorldSettings& aSettings)
+    : m_world(aSettings)
+  {
+  }
+
+  void RunTo(core::Duration aTime)
+  {
+    m_world.Queue().RunUntil(
+      std::max(m_world.Queue().Now(), core::Instant(aTime)));
+  }
+
+  void Check(bool aMet, std::string aFound)
+  {
+    if (!aMet) {
+      m_unmet.push_back({ m_step->m_line, m_step->m_text, std::move(aFound) });
+    }
+  }
+
+  void CheckCount(uint64_t aFound, uint64_t aWanted)
+  {
+    Check(aFound >= aWanted, std::to_string(aFound));
+  }
+
+  void operator()(const SetStep&) {}
+  void operator()(const FaultStep&) {}
+
+  void operator()(const ExpectBatches& aStep)
+  {
+    RunTo(aStep.m_by);
+    CheckCount(m_world.Trainer().Record().m_batches, aStep.m_batches);
+  }
+
+  void operator()(const ExpectHeld& aStep)
+  {
+    RunTo(aStep.m_by);
+    CheckCount(m_world.Trainer().CursorNow().m_done.m_low, aStep.m_group + 1);
+  }
+
+  void operator()(const ExpectMissing& aStep)
+  {
+    RunTo(aStep.m_at);
+    const auto& done = m_world.Trainer().CursorNow().m_done;
+    Check(!delivery::Contains(done, aStep.m_group), "held");
+  }
+
+  void operator()(const ExpectDelivery& aStep)
+  {
+    RunTo(aStep.m_after);
+    const uint64_t before = m_world.Trainer().Record().m_batches;
+    RunTo(aStep.m_after + aStep.m_within);
+    CheckCount(m_world.Trainer().Record().m_batches, before + 1);
+  }
+
+  void operator()(const ExpectAbandoned& aStep)
+  {
+    RunTo(aStep.m_by);
+    CheckCount(m_world.Trainer().Record().m_abandoned, aStep.m_groups);
+  }
+
+  void operator()(const ExpectPromises& aStep)
+  {
+    RunTo(aStep.m_at);
+    const auto& violations = m_world.Trainer().Record().m_violations;
+    Check(violations.empty(), violations.empty() ? "" : violations.front());
+  }
+};
+
+} // namespace
+
+absl::StatusOr<std::vector<UnmetStep>>
+RunScript(std::span<const Step> aSteps)
+{
+  WorldSettings settings = DefaultWorld();
+  std::vector<virtualworld::TimedFault> faults;
+  for (const Step& step : aSteps) {
+    if (const auto* set = std::get_if<SetStep>(&step.m_action)) {
+      if (!ApplySetting(settings, *set)) {
+        return core::ToStatus(core::InvalidInput{
+          "line " + std::to_string(step.m_line), "a setting of the world" });
+      }
+    } else if (const auto* fault = std::get_if<FaultStep>(&step.m_action)) {
+      faults.push_back(fault->m_fault);
+    }
+  }
+  Runner runner(settings);
+  virtualworld::Schedule(runner.m_world, faults);
+  runner.m_world.Start();
+  for (const Step& step : aSteps) {
+    runner.m_step = &step;
+    std::visit([&runner](const auto& aTyped) { runner(aTyped); },
+               step.m_action);
+  }
+  return std::move(runner.m_unmet);
+}
+
+} // namespace heatherdeal::scenario
