Contract tests on real sockets for HTTP, the object API client and settings

Found 1: a watch begun on an empty store took revision 0 for 1 and missed the first change. Before: 'a' not seen in 20 s; after: seen. Found 2: a request that never ends was cut off without an answer, since the library's timer closes the connection. Now a limit of our own ends the read and the caller gets 408 with the cause.

--- a/src/http/httpmodule.cpp
+++ b/src/http/httpmodule.cpp
@@ -35,8 +35,8 @@
   settings.m_connections = static_cast<uint32_t>(
     aReader.IntegerOr("connections", { 1, kMaxConnections }, 4096));
   const kernel::Range range{ 1, kMaxMilliseconds };
-  settings.m_headerTime =
-    aReader.MillisecondsOr("header_time_ms", range, settings.m_headerTime);
+  settings.m_requestTime =
+    aReader.MillisecondsOr("request_time_ms", range, settings.m_requestTime);
   settings.m_idleTime =
     aReader.MillisecondsOr("idle_time_ms", range, settings.m_idleTime);
   settings.m_writeTime =
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -6,6 +6,7 @@
 #include "boost/beast/http/read.hpp"
 #include "boost/beast/http/string_body.hpp"
 
+#include "http/internal/readlimit.h"
 #include "kernel/log.h"
 
 namespace heatherdeal::http {
@@ -129,12 +130,18 @@
     }
   }
   const auto hold = m_server->Kernel().Stopping().Acquire();
-  m_stream.expires_after(Settings().m_headerTime);
-  co_await beast::http::async_read(
-    m_stream,
-    m_buffer,
-    parser,
-    asio::redirect_error(asio::use_awaitable, error));
+  m_stream.expires_never();
+  {
+    const ReadLimit limit(m_stream, kernel::Now() + Settings().m_requestTime);
+    co_await beast::http::async_read(
+      m_stream,
+      m_buffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error && limit.HasPassed()) {
+      error = beast::error::timeout;
+    }
+  }
   if (error) {
     const std::optional<ReadRefusal> refusal = RefusalOf(error);
     if (refusal) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -19,7 +19,7 @@
   uint32_t m_headerBytes = 16 * 1024;
   uint64_t m_bodyBytes = 8 * 1024 * 1024;
   uint32_t m_connections = 4096;
-  core::Duration m_headerTime = std::chrono::seconds(10);
+  core::Duration m_requestTime = std::chrono::seconds(10);
   core::Duration m_idleTime = std::chrono::seconds(60);
   core::Duration m_writeTime = std::chrono::seconds(30);
   std::string m_operatorToken;
--- /dev/null
+++ b/src/http/tests/loopback.cpp
@@ -0,0 +1,124 @@
+#include "http/tests/loopback.h"
+
+#include <future>
+
+#include "boost/asio/buffer.hpp"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/read.hpp"
+#include "boost/asio/use_future.hpp"
+#include "boost/asio/write.hpp"
+
+namespace heatherdeal::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+tcp::endpoint
+LoopbackEndpoint(uint16_t aPort)
+{
+  return { asio::ip::make_address("127.0.0.1"), aPort };
+}
+
+} // namespace
+
+Loopback::Loopback(const ServerSettings& aSettings)
+  : m_context(kernel::Identity{ "test", "d0", "", "127.0.0.1" }, 2)
+  , m_clients(std::make_shared<Clients>(m_context))
+  , m_server(std::make_shared<Server>(m_context, aSettings))
+  , m_control([this] { m_context.Control().Run(); })
+{
+  m_context.Provide(m_clients);
+  m_context.Provide(m_server);
+}
+
+Loopback::~Loopback()
+{
+  m_context.Control().Stop();
+  m_control.join();
+  m_context.Traffic().Stop();
+}
+
+void
+Loopback::Listen()
+{
+  const absl::Status status = m_server->Listen();
+  if (!status.ok()) {
+    throw std::runtime_error(std::string(status.message()));
+  }
+}
+
+absl::StatusOr<Answer>
+Loopback::Call(const core::Endpoint& aPeer,
+               Request aRequest,
+               Reuse aReuse,
+               core::Duration aTime)
+{
+  std::future<absl::StatusOr<Answer>> answer =
+    asio::co_spawn(m_context.Traffic().Loop(0),
+                   m_clients->For(0).Call(
+                     aPeer, std::move(aRequest), aReuse, kernel::Now() + aTime),
+                   asio::use_future);
+  return answer.get();
+}
+
+std::string
+Loopback::Raw(std::string_view aBytes, bool aCloseSending)
+{
+  asio::io_context loop;
+  tcp::socket socket(loop);
+  socket.connect(LoopbackEndpoint(m_server->Port()));
+  boost::system::error_code ignored;
+  asio::write(socket, asio::buffer(aBytes.data(), aBytes.size()), ignored);
+  if (aCloseSending) {
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), ignored);
+  return answer;
+}
+
+RawServer::RawServer(std::string aAnswer)
+  : m_answer(std::move(aAnswer))
+  , m_acceptor(m_loop, LoopbackEndpoint(0))
+  , m_thread([this] { Serve(); })
+{
+}
+
+RawServer::~RawServer()
+{
+  m_stopping.store(true);
+  // Wakes the blocking accept.
+  asio::io_context loop;
+  tcp::socket socket(loop);
+  boost::system::error_code ignored;
+  socket.connect(m_acceptor.local_endpoint(), ignored);
+  m_thread.join();
+}
+
+core::Endpoint
+RawServer::Endpoint() const
+{
+  return { "127.0.0.1", m_acceptor.local_endpoint().port() };
+}
+
+void
+RawServer::Serve()
+{
+  for (;;) {
+    tcp::socket socket(m_loop);
+    boost::system::error_code error;
+    m_acceptor.accept(socket, error);
+    if (error || m_stopping.load()) {
+      return;
+    }
+    m_accepted.fetch_add(1);
+    std::array<char, 4096> request{};
+    socket.read_some(asio::buffer(request), error);
+    asio::write(socket, asio::buffer(m_answer), error);
+    socket.shutdown(tcp::socket::shutdown_both, error);
+  }
+}
+
+} // namespace heatherdeal::http
--- /dev/null
+++ b/src/http/tests/servertest.cpp
@@ -0,0 +1,221 @@
+#include "boost/asio/steady_timer.hpp"
+#include "boost/asio/use_awaitable.hpp"
+#include "catch2/catch.hpp"
+
+#include "http/tests/loopback.h"
+
+namespace heatherdeal::http {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+ServerSettings
+SmallLimits()
+{
+  ServerSettings settings;
+  settings.m_listen = { "127.0.0.1", 0 };
+  settings.m_headerBytes = 1024;
+  settings.m_bodyBytes = 64;
+  settings.m_requestTime = milliseconds(300);
+  settings.m_idleTime = seconds(5);
+  return settings;
+}
+
+boost::asio::awaitable<void>
+Echo(Exchange& aExchange)
+{
+  Answer answer;
+  answer.m_body = aExchange.Asked().m_body;
+  co_await aExchange.Respond(std::move(answer));
+}
+
+boost::asio::awaitable<void>
+Throw(Exchange&)
+{
+  throw std::runtime_error("handler");
+  co_return;
+}
+
+boost::asio::awaitable<void>
+StreamParts(Exchange& aExchange)
+{
+  co_await aExchange.StartStream(AnswerHead{});
+  for (int i = 0; i < 5; ++i) {
+    const std::string part = "part" + std::to_string(i) + ";";
+    co_await aExchange.Write(part);
+  }
+  co_await aExchange.Finish();
+}
+
+std::string
+StatusLine(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, aAnswer.find('\r'));
+}
+
+uint64_t
+CounterOf(Loopback& aLoopback, std::string_view aName)
+{
+  return aLoopback.Kernel().Metrics().Get(aName).m_value.load();
+}
+
+} // namespace
+
+TEST_CASE("bad input gets a typed error, is counted, and the server goes on")
+{
+  struct Case
+  {
+    const char* m_name;
+    std::string m_bytes;
+    bool m_close;
+    const char* m_status;
+    const char* m_counter;
+  };
+  const std::string bigHeader(2000, 'h');
+  const std::vector<Case> cases{
+    { "no HTTP", "hello\r\n\r\n", false, "400", "http.malformed_request" },
+    { "bad length",
+      "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+      false,
+      "400",
+      "http.malformed_request" },
+    { "truncated body",
+      "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+      true,
+      "400",
+      "http.truncated_request" },
+    { "header too large",
+      "GET / HTTP/1.1\r\nX: " + bigHeader + "\r\n\r\n",
+      false,
+      "431",
+      "http.header_too_large" },
+    { "body too large",
+      "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+      false,
+      "413",
+      "http.body_too_large" },
+    { "header never ends",
+      "GET / HTTP/1.1\r\nX: y",
+      false,
+      "408",
+      "http.slow_request" },
+  };
+  Loopback loopback(SmallLimits());
+  loopback.Http().AddRoute({ "*", "/", Echo });
+  loopback.Listen();
+  for (const Case& c : cases) {
+    INFO(c.m_name);
+    const uint64_t before = CounterOf(loopback, c.m_counter);
+    const std::string answer = loopback.Raw(c.m_bytes, c.m_close);
+    CHECK(StatusLine(answer).find(c.m_status) != std::string::npos);
+    CHECK(answer.find("\"error\":\"invalid-input\"") != std::string::npos);
+    CHECK(answer.find("\"executed\":\"no\"") != std::string::npos);
+    CHECK(CounterOf(loopback, c.m_counter) == before + 1);
+    const auto next = loopback.Call(loopback.Self(),
+                                    { "POST", "/", {}, "still here" },
+                                    Reuse::Never,
+                                    seconds(5));
+    REQUIRE(next.ok());
+    CHECK(next->m_body == "still here");
+  }
+}
+
+TEST_CASE("unknown paths, throwing handlers and streams")
+{
+  Loopback loopback(SmallLimits());
+  loopback.Http().AddRoute({ "GET", "/throw", Throw });
+  loopback.Http().AddRoute({ "GET", "/stream", StreamParts });
+  loopback.Listen();
+  const auto missing = loopback.Call(
+    loopback.Self(), { "GET", "/nothing", {}, "" }, Reuse::Allowed, seconds(5));
+  REQUIRE(missing.ok());
+  CHECK(missing->m_head.m_status == 404);
+  const auto thrown = loopback.Call(
+    loopback.Self(), { "GET", "/throw", {}, "" }, Reuse::Allowed, seconds(5));
+  REQUIRE(thrown.ok());
+  CHECK(thrown->m_head.m_status == 502);
+  CHECK(thrown->m_body.find("\"executed\":\"unknown\"") != std::string::npos);
+  const auto stream = loopback.Call(
+    loopback.Self(), { "GET", "/stream", {}, "" }, Reuse::Allowed, seconds(5));
+  REQUIRE(stream.ok());
+  CHECK(stream->m_body == "part0;part1;part2;part3;part4;");
+}
+
+TEST_CASE("what the client makes of answers that are not whole")
+{
+  struct Case
+  {
+    const char* m_name;
+    std::string m_answer;
+    std::string_view m_kind;
+  };
+  const std::vector<Case> cases{
+    { "short body",
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+      "truncated-answer" },
+    { "no end mark",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      "truncated-answer" },
+    { "no head", "HTTP/1.1 2", "connection-failed" },
+    { "nothing", "", "connection-failed" },
+    { "not HTTP", "what?\r\n\r\n", "connection-failed" },
+  };
+  Loopback loopback(SmallLimits());
+  for (const Case& c : cases) {
+    INFO(c.m_name);
+    const RawServer server(c.m_answer);
+    const auto answer = loopback.Call(
+      server.Endpoint(), { "POST", "/", {}, "x" }, Reuse::Never, seconds(5));
+    REQUIRE_FALSE(answer.ok());
+    const core::Failure failure = FailureOf(answer.status());
+    CHECK(core::KindOf(failure) == c.m_kind);
+    CHECK(core::ExecutedOf(failure) == core::Executed::Unknown);
+    // Sent once and never again.
+    CHECK(server.Accepted() == 1);
+  }
+}
+
+TEST_CASE("a refused connection says that nothing was run")
+{
+  Loopback loopback(SmallLimits());
+  core::Endpoint closed;
+  {
+    const RawServer server("");
+    closed = server.Endpoint();
+  }
+  const auto answer =
+    loopback.Call(closed, { "POST", "/", {}, "x" }, Reuse::Never, seconds(5));
+  REQUIRE_FALSE(answer.ok());
+  CHECK(core::ExecutedOf(FailureOf(answer.status())) == core::Executed::No);
+}
+
+TEST_CASE("a late answer never reaches the next request")
+{
+  Loopback loopback(SmallLimits());
+  loopback.Http().AddRoute(
+    { "*", "/", [](Exchange& aExchange) -> boost::asio::awaitable<void> {
+       if (aExchange.Asked().m_body == "slow") {
+         boost::asio::steady_timer timer(
+           co_await boost::asio::this_coro::executor, milliseconds(200));
+         co_await timer.async_wait(boost::asio::use_awaitable);
+       }
+       co_await Echo(aExchange);
+     } });
+  loopback.Listen();
+  for (int i = 0; i < 5; ++i) {
+    const auto late = loopback.Call(loopback.Self(),
+                                    { "GET", "/", {}, "slow" },
+                                    Reuse::Allowed,
+                                    milliseconds(50));
+    REQUIRE_FALSE(late.ok());
+    const std::string text = "quick" + std::to_string(i);
+    const auto next = loopback.Call(
+      loopback.Self(), { "GET", "/", {}, text }, Reuse::Allowed, seconds(5));
+    REQUIRE(next.ok());
+    CHECK(next->m_body == text);
+  }
+}
+
+} // namespace heatherdeal::http
--- a/src/platform/internal/objectstore.cpp
+++ b/src/platform/internal/objectstore.cpp
@@ -116,42 +116,43 @@
 asio::awaitable<void>
 RunWatch(kernel::Context& aContext, http::Client& aClient, WatchTask aTask)
 {
-  uint64_t revision = 0;
+  // None before the first list; the store's own revisions begin at 0.
+  std::optional<uint64_t> revision;
   size_t endpoint = 0;
   BackoffState backoff;
   backoff.m_seed =
     std::hash<std::string>()(aContext.Self().m_host + aTask.m_kind);
   for (;;) {
     const core::Duration wait =
-      revision == 0 ? core::Duration::zero() : aTask.m_watchTime;
+      revision ? aTask.m_watchTime : core::Duration::zero();
     const core::Instant deadline =
       kernel::Now() + wait + std::max(aTask.m_callTime, kWatchGrace);
     const core::Endpoint peer =
       aTask.m_endpoints[endpoint % aTask.m_endpoints.size()];
-    absl::StatusOr<ObjectList> list =
-      co_await CallList(aClient, peer, aTask.m_kind, revision, wait, deadline);
+    absl::StatusOr<ObjectList> list = co_await CallList(
+      aClient, peer, aTask.m_kind, revision.value_or(0), wait, deadline);
     if (!list.ok()) {
       aContext.Metrics().Get("platform.watch_failed").Add();
       endpoint += 1;
       if (absl::IsOutOfRange(list.status())) {
-        revision = 0;
+        revision.reset();
       }
       co_await WaitUntil(NextTry(backoff, aTask.m_backoff, kernel::Now()));
       continue;
     }
-    if (list->m_revision == revision && revision != 0) {
+    if (revision && list->m_revision == *revision) {
       backoff.m_failures = 0;
       continue;
     }
     // A revision below the one seen comes from a replica that lags.
-    if (list->m_revision < revision) {
+    if (revision && list->m_revision < *revision) {
       aContext.Metrics().Get("platform.stale_list").Add();
       endpoint += 1;
       co_await WaitUntil(NextTry(backoff, aTask.m_backoff, kernel::Now()));
       continue;
     }
     backoff.m_failures = 0;
-    revision = std::max<uint64_t>(list->m_revision, 1);
+    revision = list->m_revision;
     auto held =
       std::make_shared<std::vector<StoredObject>>(std::move(list->m_objects));
     aContext.Control().Post(
--- /dev/null
+++ b/src/platform/tests/objectstoretest.cpp
@@ -0,0 +1,205 @@
+#include "platform/objectstore.h"
+
+#include <future>
+
+#include "catch2/catch.hpp"
+
+#include "http/tests/loopback.h"
+#include "standin/objectapi/objectapi.h"
+
+namespace heatherdeal::platform {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+http::ServerSettings
+AnyPort()
+{
+  http::ServerSettings settings;
+  settings.m_listen = { "127.0.0.1", 0 };
+  return settings;
+}
+
+/// The object API stand-in and a client of it.
+struct Store
+{
+  http::Loopback m_loopback{ AnyPort() };
+  std::shared_ptr<standin::ObjectApi> m_api;
+  std::shared_ptr<ObjectStore> m_store;
+
+  Store()
+  {
+    m_api = std::make_shared<standin::ObjectApi>(m_loopback.Kernel());
+    m_api->AddRoutes();
+    m_loopback.Listen();
+    ObjectStoreSettings settings;
+    settings.m_endpoints = { m_loopback.Self() };
+    settings.m_callTime = milliseconds(500);
+    settings.m_watchTime = seconds(5);
+    settings.m_budget = { 1000.0, 1000.0 };
+    m_store = std::make_shared<ObjectStore>(m_loopback.Kernel(), settings);
+  }
+
+  absl::StatusOr<uint64_t> Write(uint64_t aIfVersion, std::string aValue)
+  {
+    std::promise<absl::StatusOr<uint64_t>> done;
+    m_loopback.Kernel().Control().Post([&] {
+      m_store->Write({ "kind", "name" },
+                     aIfVersion,
+                     aValue,
+                     CallPriority::Lease,
+                     [&](absl::StatusOr<uint64_t> aVersion) {
+                       done.set_value(std::move(aVersion));
+                     });
+    });
+    return done.get_future().get();
+  }
+
+  absl::StatusOr<StoredObject> Read()
+  {
+    std::promise<absl::StatusOr<StoredObject>> done;
+    m_loopback.Kernel().Control().Post([&] {
+      m_store->Read({ "kind", "name" },
+                    CallPriority::Lease,
+                    [&](absl::StatusOr<StoredObject> aObject) {
+                      done.set_value(std::move(aObject));
+                    });
+    });
+    return done.get_future().get();
+  }
+};
+
+core::Executed
+ExecutedOf(const absl::Status& aStatus)
+{
+  return core::ExecutedOf(http::FailureOf(aStatus));
+}
+
+} // namespace
+
+TEST_CASE("what a write comes to under each fault of the store")
+{
+  Store store;
+  const auto made = store.Write(0, "a");
+  REQUIRE(made.ok());
+
+  SECTION("conflict")
+  {
+    const auto conflict = store.Write(*made + 7, "b");
+    CHECK(absl::IsAborted(conflict.status()));
+    CHECK(store.Read()->m_value == "a");
+  }
+  SECTION("reply lost after the write took effect")
+  {
+    store.m_api->SetFaults({ .m_lostReplies = 1 });
+    const auto written = store.Write(*made, "b");
+    REQUIRE(written.ok());
+    CHECK(store.Read()->m_version == *written);
+    CHECK(store.Read()->m_value == "b");
+  }
+  SECTION("down")
+  {
+    store.m_api->SetFaults({ .m_down = true });
+    const auto written = store.Write(*made, "b");
+    REQUIRE_FALSE(written.ok());
+    CHECK(ExecutedOf(written.status()) == core::Executed::Unknown);
+  }
+  SECTION("throttled")
+  {
+    store.m_api->SetFaults({ .m_throttled = 1 });
+    const auto written = store.Write(*made, "b");
+    REQUIRE_FALSE(written.ok());
+    CHECK(ExecutedOf(written.status()) == core::Executed::No);
+    CHECK(store.Read()->m_value == "a");
+  }
+  SECTION("slower than the caller waits")
+  {
+    store.m_api->SetFaults({ .m_delay = milliseconds(1500) });
+    const auto written = store.Write(*made, "b");
+    REQUIRE_FALSE(written.ok());
+    CHECK(ExecutedOf(written.status()) == core::Executed::Unknown);
+  }
+  SECTION("a value over a megabyte is not sent")
+  {
+    const auto written =
+      store.Write(*made, std::string(kMaxValueBytes + 1, 'x'));
+    REQUIRE_FALSE(written.ok());
+    CHECK(ExecutedOf(written.status()) == core::Executed::No);
+  }
+}
+
+TEST_CASE("an object that is not there reads as version 0")
+{
+  Store store;
+  const auto object = store.Read();
+  REQUIRE(object.ok());
+  CHECK(object->m_version == 0);
+}
+
+TEST_CASE("a watch tells of changes, and goes on after an outage")
+{
+  Store store;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::string seen;
+  store.m_loopback.Kernel().Control().Post([&] {
+    store.m_store->Watch("kind", [&](std::span<const StoredObject> aObjects) {
+      const std::scoped_lock lock(mutex);
+      seen = aObjects.empty() ? "" : aObjects.front().m_value;
+      changed.notify_all();
+    });
+  });
+  const auto waitFor = [&](std::string_view aValue) {
+    std::unique_lock lock(mutex);
+    return changed.wait_for(lock, seconds(20), [&] { return seen == aValue; });
+  };
+  const auto first = store.Write(0, "a");
+  REQUIRE(first.ok());
+  CHECK(waitFor("a"));
+  store.m_api->SetFaults({ .m_down = true });
+  store.m_api->SetFaults({});
+  REQUIRE(store.Write(*first, "b").ok());
+  CHECK(waitFor("b"));
+}
+
+TEST_CASE("the call budget keeps a part for higher priorities")
+{
+  CallBudgetState state{ 8.0, core::Instant{} };
+  const CallBudgetPolicy policy{ 1.0, 8.0 };
+  int status = 0;
+  while (TakeCall(state, policy, CallPriority::Status, core::Instant{})) {
+    ++status;
+  }
+  CHECK(status == 4);
+  int configuration = 0;
+  while (
+    TakeCall(state, policy, CallPriority::Configuration, core::Instant{})) {
+    ++configuration;
+  }
+  CHECK(configuration == 2);
+  int lease = 0;
+  while (TakeCall(state, policy, CallPriority::Lease, core::Instant{})) {
+    ++lease;
+  }
+  CHECK(lease == 2);
+  CHECK(
+    TakeCall(state, policy, CallPriority::Lease, core::Instant(seconds(1))));
+}
+
+TEST_CASE("backoff doubles to its limit, with jitter from a seed")
+{
+  BackoffState state;
+  const BackoffPolicy policy{ milliseconds(100), seconds(2) };
+  for (int i = 0; i < 40; ++i) {
+    const core::Duration full = std::min<core::Duration>(
+      milliseconds(100) * (1LL << std::min(i, 10)), seconds(2));
+    const core::Duration delay =
+      NextTry(state, policy, core::Instant{}).time_since_epoch();
+    CHECK(delay <= full);
+    CHECK(delay >= full / 2);
+  }
+}
+
+} // namespace heatherdeal::platform
