--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -46,6 +46,19 @@
 
 using RoutingPolicy = std::variant<TwoChoices, RoundRobin, LeastReported>;
 
+/// A call that may not be repeated is recorded under its request id in the
+/// object API before it is sent: one write a call. It is refused while the
+/// store does not answer.
+struct StoreRecord
+{};
+
+/// Each receipt of a call is sent at most once; a caller that sends it again
+/// itself is not recognised.
+struct PerReceipt
+{};
+
+using OncePolicy = std::variant<StoreRecord, PerReceipt>;
+
 /// A service that callers reach through entry hosts.
 struct Service
 {
@@ -54,6 +67,7 @@
   RoutingPolicy m_routing = TwoChoices{};
   core::Duration m_callTime = std::chrono::seconds(30);
   uint32_t m_attempts = 3;
+  OncePolicy m_once = StoreRecord{};
   /// Requests that one entry host carries at once.
   uint32_t m_concurrency = 512;
 };
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -18,6 +18,7 @@
 constexpr int64_t kMaxMilliseconds = 3'600'000;
 constexpr kernel::Range kPercent{ 0, 100 };
 constexpr std::string_view kKinds[] = { "plain", "engine" };
+constexpr std::string_view kOnces[] = { "store-record", "per-receipt" };
 constexpr std::string_view kRoutings[] = { "two-choices",
                                            "round-robin",
                                            "least-reported" };
@@ -39,6 +40,15 @@
   return engines;
 }
 
+OncePolicy
+ParseOnce(kernel::SettingsReader& aReader)
+{
+  if (aReader.ChoiceOr("once", kOnces, 0) == 1) {
+    return PerReceipt{};
+  }
+  return StoreRecord{};
+}
+
 RoutingPolicy
 ParseRouting(kernel::SettingsReader& aReader)
 {
@@ -60,6 +70,7 @@
   service.m_name.m_value = aReader.Text("name");
   service.m_kind = ParseKind(aReader);
   service.m_routing = ParseRouting(aReader);
+  service.m_once = ParseOnce(aReader);
   service.m_callTime = aReader.MillisecondsOr(
     "call_time_ms", { 1, kMaxMilliseconds }, service.m_callTime);
   service.m_attempts = static_cast<uint32_t>(
@@ -97,6 +108,10 @@
                                } },
              aService.m_routing);
   object["call_time_ms"] = ToMilliseconds(aService.m_callTime);
+  object["once"] = std::visit(
+    core::Overloaded{ [](const StoreRecord&) { return "store-record"; },
+                      [](const PerReceipt&) { return "per-receipt"; } },
+    aService.m_once);
   object["attempts"] = aService.m_attempts;
   object["concurrency"] = aService.m_concurrency;
   return object;
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -62,6 +62,8 @@
   } else if constexpr (std::is_same_v<T, AlreadySubmitted>) {
     aVisit("request-id", aFailure.m_requestId);
     aVisit("executed", aFailure.m_executed);
+  } else if constexpr (std::is_same_v<T, RecordUnavailable>) {
+    aVisit("record", aFailure.m_record);
   } else if constexpr (std::is_same_v<T, VersionConflict>) {
     aVisit("expected", aFailure.m_expected);
     aVisit("found", aFailure.m_found);
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -96,6 +96,13 @@
   Executed m_executed = Executed::Unknown;
 };
 
+/// A record that has to be made first cannot be; the request was not run.
+struct RecordUnavailable
+{
+  static constexpr std::string_view kKind = "record-unavailable";
+  std::string m_record;
+};
+
 /// A conditional update met another version.
 struct VersionConflict
 {
@@ -186,6 +193,7 @@
                              NoUpstream,
                              Quarantined,
                              AlreadySubmitted,
+                             RecordUnavailable,
                              VersionConflict,
                              GenerationRegressed,
                              NotFound,
--- a/src/core/tests/failuretest.cpp
+++ b/src/core/tests/failuretest.cpp
@@ -19,6 +19,7 @@
     NoUpstream{ "songs" },
     Quarantined{ "ab12" },
     AlreadySubmitted{ "id", Executed::Yes },
+    RecordUnavailable{ "submission" },
     VersionConflict{ 3, 4 },
     GenerationRegressed{ 9, 8 },
     NotFound{ "it" },
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/internal/forwarder.h"
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
+#include "platform/platformmodule.h"
 #include "routing/routingmodule.h"
 
 namespace heatherdeal::forwarding {
@@ -30,6 +31,7 @@
 }
 
 constexpr std::string_view kNeeds[] = { http::kModuleName,
+                                        platform::kModuleName,
                                         routing::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -7,6 +7,7 @@
 #include "xxhash.h"
 
 #include "core/overloaded.h"
+#include "forwarding/internal/submissions.h"
 
 namespace heatherdeal::forwarding {
 
@@ -17,6 +18,7 @@
 constexpr std::string_view kDeadlineHeader = "X-Heatherdeal-Deadline-Ms";
 constexpr std::string_view kIdempotentHeader = "X-Heatherdeal-Idempotent";
 constexpr std::string_view kExecutedHeader = "X-Heatherdeal-Executed";
+constexpr std::string_view kRequestIdHeader = "X-Heatherdeal-Request-Id";
 constexpr size_t kWholeAnswerBytes = 64 * 1024;
 constexpr uint32_t kTooManyRequests = 429;
 constexpr uint32_t kUnavailable = 503;
@@ -139,6 +141,27 @@
   m_meter->m_inFlight.fetch_sub(1);
 }
 
+asio::awaitable<absl::Status>
+Call::Claim()
+{
+  const configuration::Service& service = m_pool->m_service;
+  const std::string_view id =
+    http::FindHeader(m_exchange.Asked().m_headers, kRequestIdHeader);
+  const bool recorded =
+    !m_facts.m_idempotent && !id.empty() &&
+    std::holds_alternative<configuration::StoreRecord>(service.m_once);
+  if (!recorded) {
+    co_return absl::OkStatus();
+  }
+  if (!IsRequestId(id)) {
+    co_return core::ToStatus(core::InvalidInput{
+      std::string(kRequestIdHeader), "1 to 128 of A-Z a-z 0-9 . _ -" });
+  }
+  m_recordName = service.m_name.m_value + "." + std::string(id);
+  co_return co_await ClaimSubmission(
+    m_forwarder.m_context, m_exchange.LoopIndex(), m_recordName);
+}
+
 asio::awaitable<void>
 Call::Run()
 {
@@ -146,6 +169,13 @@
     const std::scoped_lock lock(m_meter->m_mutex);
     NoteCall(m_meter->m_budget, RetryBudgetPolicy{});
   }
+  const absl::Status claimed = co_await Claim();
+  if (!claimed.ok()) {
+    m_forwarder.m_context.Metrics().Get("forwarding.not_claimed").Add();
+    http::Answer answer = http::FailureAnswer(http::FailureOf(claimed));
+    co_await m_exchange.Respond(std::move(answer));
+    co_return;
+  }
   for (;;) {
     const absl::Status status = co_await Attempt();
     if (status.ok() || m_callerGone) {
@@ -158,11 +188,7 @@
       continue;
     }
     if (const GiveUp* giveUp = std::get_if<GiveUp>(&step)) {
-      m_forwarder.m_context.Metrics()
-        .Get("forwarding.failed_" + std::string(core::KindOf(failure)))
-        .Add();
-      http::Answer answer = http::FailureAnswer(giveUp->m_failure);
-      co_await m_exchange.Respond(std::move(answer));
+      co_await TellFailure(giveUp->m_failure);
       co_return;
     }
     m_forwarder.m_context.Metrics().Get("forwarding.broken_off").Add();
@@ -170,6 +196,21 @@
   }
 }
 
+asio::awaitable<void>
+Call::TellFailure(core::Failure aFailure)
+{
+  m_forwarder.m_context.Metrics()
+    .Get("forwarding.failed_" + std::string(core::KindOf(aFailure)))
+    .Add();
+  const bool notRun = core::ExecutedOf(aFailure) == core::Executed::No;
+  if (notRun && !m_recordName.empty()) {
+    // The caller may send it again.
+    ReleaseSubmission(m_forwarder.m_context, m_recordName);
+  }
+  http::Answer answer = http::FailureAnswer(aFailure);
+  co_await m_exchange.Respond(std::move(answer));
+}
+
 NextStep
 Call::Decide(const core::Failure& aFailure)
 {
--- a/src/forwarding/internal/call.h
+++ b/src/forwarding/internal/call.h
@@ -21,11 +21,13 @@
   boost::asio::awaitable<void> Run();
 
 private:
+  boost::asio::awaitable<absl::Status> Claim();
   boost::asio::awaitable<absl::Status> Attempt();
   boost::asio::awaitable<absl::Status> Relay(http::AnswerStream& aAnswer);
   boost::asio::awaitable<absl::Status> RelayWhole(http::AnswerStream& aAnswer);
   boost::asio::awaitable<absl::Status> RelayStream(http::AnswerStream& aAnswer);
 
+  boost::asio::awaitable<void> TellFailure(core::Failure aFailure);
   http::Request ToUpstream() const;
   NextStep Decide(const core::Failure& aFailure);
   void NoteFailure(routing::Ticket& aTicket, const core::Failure& aFailure);
@@ -39,6 +41,8 @@
   CallProgress m_progress;
   std::vector<size_t> m_tried;
   uint64_t m_fingerprint = 0;
+  /// Name of the record of a call that may not be repeated; "": none.
+  std::string m_recordName;
   /// The caller has gone or does not read; no upstream is to blame.
   bool m_callerGone = false;
 };
--- a/src/kernel/context.h
+++ b/src/kernel/context.h
@@ -31,6 +31,9 @@
 {
 public:
   Context(Identity aIdentity, size_t aTrafficThreads);
+  ~Context();
+  Context(const Context&) = delete;
+  Context& operator=(const Context&) = delete;
 
   const Identity& Self() const { return m_identity; }
   ControlThread& Control() { return m_control; }
--- a/src/kernel/controlthread.h
+++ b/src/kernel/controlthread.h
@@ -4,10 +4,10 @@
 #include <thread>
 
 #include "boost/asio/executor_work_guard.hpp"
-#include "boost/asio/io_context.hpp"
 #include "boost/asio/post.hpp"
 
 #include "core/instant.h"
+#include "kernel/loop.h"
 
 namespace heatherdeal::kernel {
 
@@ -36,10 +36,10 @@
     boost::asio::post(m_context, std::forward<Task>(aTask));
   }
 
-  boost::asio::io_context& Context() { return m_context; }
+  Loop& Context() { return m_context; }
 
 private:
-  boost::asio::io_context m_context{ 1 };
+  Loop m_context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     m_work;
 };
--- a/src/kernel/internal/context.cpp
+++ b/src/kernel/internal/context.cpp
@@ -8,6 +8,15 @@
 {
 }
 
+Context::~Context()
+{
+  // Requests that wait in one loop hold sockets and timers of others: all
+  // are destroyed while every loop and every service is still there.
+  m_traffic.Stop();
+  m_traffic.DestroyHandlers();
+  m_control.Context().DestroyHandlers();
+}
+
 void
 Context::Fail(absl::Status aStatus)
 {
--- a/src/kernel/internal/trafficthreads.cpp
+++ b/src/kernel/internal/trafficthreads.cpp
@@ -35,4 +35,12 @@
   }
 }
 
+void
+TrafficThreads::DestroyHandlers()
+{
+  for (const auto& loop : m_loops) {
+    loop->m_context.DestroyHandlers();
+  }
+}
+
 } // namespace heatherdeal::kernel
--- a/src/kernel/trafficthreads.h
+++ b/src/kernel/trafficthreads.h
@@ -6,7 +6,8 @@
 #include <vector>
 
 #include "boost/asio/executor_work_guard.hpp"
-#include "boost/asio/io_context.hpp"
+
+#include "kernel/loop.h"
 
 namespace heatherdeal::kernel {
 
@@ -32,10 +33,13 @@
   /// Ends the loops and joins the threads.
   void Stop();
 
+  /// Destroys what waits in the loops; only after Stop.
+  void DestroyHandlers();
+
 private:
   struct TrafficLoop
   {
-    boost::asio::io_context m_context{ 1 };
+    kernel::Loop m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       m_work{ boost::asio::make_work_guard(m_context) };
     std::thread m_thread;
