New samples wait for engines to load newly published weights

Cause: groups are begun the moment a batch is pulled, which is the moment new weights come out; for some seconds engines still serve the old ones, so that every sample lost one version of its two. Ruled out: slots (engines run at a tenth of their room), migration (loads are even). Three scripts that show a mechanism switched off asserted one named group; they now assert that some group below a bound stays missing, the exact contrary of their twins.

--- a/src/configuration/internal/jobjson.cpp
+++ b/src/configuration/internal/jobjson.cpp
@@ -145,6 +145,8 @@
   policy.m_admission = ParseAdmission(aReader);
   policy.m_age = ParseAge(aReader);
   const kernel::Range range{ 1, kMaxMilliseconds };
+  policy.m_freshWait = aReader.MillisecondsOr(
+    "fresh_wait_ms", { 0, kMaxMilliseconds }, policy.m_freshWait);
   policy.m_progressTime =
     aReader.MillisecondsOr("progress_time_ms", range, policy.m_progressTime);
   policy.m_scoringTime =
@@ -168,6 +170,7 @@
     { "samples_per_group", policy.m_samplesPerGroup },
     { "staleness_bound", policy.m_stalenessBound },
     { "max_tokens", policy.m_maxTokens },
+    { "fresh_wait_ms", ToMilliseconds(policy.m_freshWait) },
     { "progress_time_ms", ToMilliseconds(policy.m_progressTime) },
     { "scoring_time_ms", ToMilliseconds(policy.m_scoringTime) }
   };
--- a/src/rollout/decisions/engines.cpp
+++ b/src/rollout/decisions/engines.cpp
@@ -41,11 +41,17 @@
 }
 
 EngineView*
-ChooseEngine(ShardState& aState, core::Instant aNow)
+ChooseEngine(ShardState& aState, Freshness aFreshness, core::Instant aNow)
 {
+  // A sample begun on old weights in the moment before an engine loads new
+  // ones would lose a whole version of its time.
+  const bool onlyNewest =
+    aFreshness == Freshness::Newest && aNow < aState.m_freshUntil;
+  const core::WeightVersion least =
+    onlyNewest ? aState.m_delivery.m_newest : core::WeightVersion{};
   EngineView* best = nullptr;
   for (auto& [id, engine] : aState.m_engines) {
-    if (HasRoom(aState, engine, aNow) &&
+    if (HasRoom(aState, engine, aNow) && engine.m_report.m_version >= least &&
         (best == nullptr || IsBetter(engine, *best))) {
       best = &engine;
     }
--- a/src/rollout/decisions/shard.cpp
+++ b/src/rollout/decisions/shard.cpp
@@ -377,6 +377,9 @@
    core::Instant aNow,
    Effects& aEffects)
 {
+  if (aEvent.m_version > aState.m_delivery.m_newest) {
+    aState.m_freshUntil = aNow + aState.m_policy.m_freshWait;
+  }
   Deliver(aState, aEvent, aNow, aEffects);
   for (auto& [ordinal, group] : aState.m_groups) {
     if (IsInWork(group)) {
@@ -491,6 +494,9 @@
                           group.m_stage == GroupStage::Generating);
     }
   }
+  if (queued && aState.m_freshUntil > aNow) {
+    consider(aState.m_freshUntil);
+  }
   if (queued) {
     for (const auto& [id, engine] : aState.m_engines) {
       // One that has passed was acted on; there was no room then.
--- a/src/rollout/decisions/stragglers.cpp
+++ b/src/rollout/decisions/stragglers.cpp
@@ -46,7 +46,8 @@
 {
   for (uint32_t member = 0; member < aGroup.m_samples.size(); ++member) {
     SampleProgress& sample = aGroup.m_samples[member];
-    const EngineView* target = ChooseEngine(aState, aNow);
+    const EngineView* target =
+      ChooseEngine(aState, Freshness::WithinBound, aNow);
     if (target == nullptr) {
       return;
     }
--- a/src/rollout/decisions/streams.cpp
+++ b/src/rollout/decisions/streams.cpp
@@ -98,7 +98,9 @@
          core::Instant aNow,
          Effects& aEffects)
 {
-  EngineView* engine = ChooseEngine(aState, aNow);
+  const Freshness freshness =
+    aSample.m_tokens > 0 ? Freshness::WithinBound : Freshness::Newest;
+  EngineView* engine = ChooseEngine(aState, freshness, aNow);
   if (engine == nullptr) {
     return false;
   }
--- a/src/rollout/policy.h
+++ b/src/rollout/policy.h
@@ -69,6 +69,8 @@
   StragglerPolicy m_straggler = OutOfOrder{};
   AdmissionPolicy m_admission = StalenessAdmission{};
   AgePolicy m_age = HoldBatch{};
+  /// How long new samples wait for engines to load newly published weights.
+  core::Duration m_freshWait = std::chrono::seconds(10);
   core::Duration m_progressTime = std::chrono::seconds(10);
   core::Duration m_suspectTime = std::chrono::seconds(1);
   core::Duration m_scoringTime = std::chrono::seconds(10);
--- a/src/rollout/shard.h
+++ b/src/rollout/shard.h
@@ -96,6 +96,8 @@
   delivery::DeliveryState m_delivery;
   std::map<core::GroupOrdinal, GroupProgress> m_groups;
   std::map<core::UpstreamId, EngineView> m_engines;
+  /// Until then new samples begin only on engines with the newest weights.
+  core::Instant m_freshUntil{};
   bool m_draining = false;
   ShardTotals m_totals;
 };
--- a/src/scenario/run.cpp
+++ b/src/scenario/run.cpp
@@ -156,11 +156,11 @@
     CheckCount(m_world.Trainer().CursorNow().m_done.m_low, aStep.m_group + 1);
   }
 
-  void operator()(const ExpectMissing& aStep)
+  void operator()(const ExpectStuck& aStep)
   {
     RunTo(aStep.m_at);
-    const auto& done = m_world.Trainer().CursorNow().m_done;
-    Check(!delivery::Contains(done, aStep.m_group), "held");
+    const uint64_t low = m_world.Trainer().CursorNow().m_done.m_low;
+    Check(low < aStep.m_group, "held up to " + std::to_string(low));
   }
 
   void operator()(const ExpectDelivery& aStep)
--- a/src/scenario/script.h
+++ b/src/scenario/script.h
@@ -47,9 +47,9 @@
   core::Duration m_after{};
 };
 
-/// "expect group N missing at TIME": shows what happens with a mechanism
-/// switched off.
-struct ExpectMissing
+/// "expect stuck below N at TIME": a group below N is not held. Shows what
+/// happens with a mechanism switched off.
+struct ExpectStuck
 {
   uint64_t m_group = 0;
   core::Duration m_at{};
@@ -73,7 +73,7 @@
                                 ExpectBatches,
                                 ExpectHeld,
                                 ExpectDelivery,
-                                ExpectMissing,
+                                ExpectStuck,
                                 ExpectAbandoned,
                                 ExpectPromises>;
 
