--- a/src/apps/bench.cpp
+++ b/src/apps/bench.cpp
@@ -1,7 +1,10 @@
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <string_view>
 
 #include "bench/capacitybench.h"
+#include "bench/capacitytable.h"
 #include "bench/rolloutbench.h"
 #include "bench/servebench.h"
 
@@ -13,19 +16,52 @@
 int
 PrintUsage()
 {
-  std::cout << "usage: heatherdeal-bench rollout | serve | capacity\n";
+  std::cout << "usage: heatherdeal-bench rollout | serve | capacity\n"
+               "       heatherdeal-bench tables POINTS\n"
+               "       heatherdeal-bench check-page POINTS PAGE\n";
   return kUsage;
 }
 
+std::string
+ReadFile(const char* aFile)
+{
+  std::ifstream stream(aFile);
+  return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+/// 0 if the page holds the tables that the points give.
+int
+CheckPage(const char* aPoints, const char* aPage)
+{
+  const std::string tables =
+    heatherdeal::bench::MakeCapacityTables(ReadFile(aPoints));
+  if (ReadFile(aPage).find(tables) != std::string::npos) {
+    std::cout << "the page agrees with its points\n";
+    return 0;
+  }
+  std::cout << "the page should hold:\n" << tables;
+  return 1;
+}
+
 } // namespace
 
 int
 main(int aArgc, char** aArgv)
 {
-  if (aArgc != 2) {
+  if (aArgc < 2) {
     return PrintUsage();
   }
   const std::string_view what = aArgv[1];
+  if (what == "tables" && aArgc == 3) {
+    std::cout << heatherdeal::bench::MakeCapacityTables(ReadFile(aArgv[2]));
+    return 0;
+  }
+  if (what == "check-page" && aArgc == 4) {
+    return CheckPage(aArgv[2], aArgv[3]);
+  }
+  if (aArgc != 2) {
+    return PrintUsage();
+  }
   if (what == "rollout") {
     std::cout << heatherdeal::bench::RunRolloutBench(kBatches);
     return 0;
