Linter clean without precompiled headers; shard decisions in smaller files

It found results of answers ignored (Reply says so now), a header that lacked an include and an unused member. shard.cpp: 529 -> 402 lines, ages and scoring have files of their own.

--- a/src/configuration/configurationmodule.cpp
+++ b/src/configuration/configurationmodule.cpp
@@ -24,7 +24,7 @@
   http::Answer answer;
   answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
   answer.m_body = ToJson(*aActive->Read());
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 absl::Status
--- a/src/discovery/discoverymodule.cpp
+++ b/src/discovery/discoverymodule.cpp
@@ -105,7 +105,7 @@
     answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
     answer.m_body = ToJson(endpoints, aDiscovery->m_settings.m_lifetime);
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 absl::Status
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -173,7 +173,7 @@
   if (!claimed.ok()) {
     m_forwarder.m_context.Metrics().Get("forwarding.not_claimed").Add();
     http::Answer answer = http::FailureAnswer(http::FailureOf(claimed));
-    co_await m_exchange.Respond(std::move(answer));
+    co_await m_exchange.Reply(std::move(answer));
     co_return;
   }
   for (;;) {
@@ -208,7 +208,7 @@
     ReleaseSubmission(m_forwarder.m_context, m_recordName);
   }
   http::Answer answer = http::FailureAnswer(aFailure);
-  co_await m_exchange.Respond(std::move(answer));
+  co_await m_exchange.Reply(std::move(answer));
 }
 
 NextStep
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -44,14 +44,14 @@
   std::shared_ptr<const routing::Pool> pool = m_router->Find(service);
   if (!pool) {
     http::Answer answer = http::FailureAnswer(core::NotFound{ service });
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
     co_return;
   }
   std::shared_ptr<ServiceMeter> meter = MeterOf(service);
   if (meter->m_inFlight.load() >= pool->m_service.m_concurrency) {
     m_context.Metrics().Get("forwarding.refused_overload").Add();
     http::Answer answer = http::FailureAnswer(core::Overload{ service });
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
     co_return;
   }
   m_context.Metrics().Get("forwarding.calls").Add();
--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -55,7 +55,7 @@
     m_runs.fetch_add(1);
     http::Answer answer;
     answer.m_body = "ran";
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
   }
 };
 
@@ -74,7 +74,7 @@
     settings.m_callTime = milliseconds(500);
     settings.m_budget = { 1000.0, 1000.0 };
     context.Provide(std::make_shared<platform::ObjectStore>(context, settings));
-    m_router = std::make_shared<routing::Router>("d0", context.Metrics());
+    m_router = std::make_shared<routing::Router>("d0");
     context.Provide(m_router);
     configuration::Document document;
     configuration::Service service;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -34,6 +34,9 @@
   /// Sends a whole answer.
   boost::asio::awaitable<absl::Status> Respond(Answer aAnswer);
 
+  /// The same, for handlers that have nothing to do if the caller is gone.
+  boost::asio::awaitable<void> Reply(Answer aAnswer);
+
   /// Begins an answer of unknown length.
   boost::asio::awaitable<absl::Status> StartStream(AnswerHead aHead);
   /// Sends a part; suspends while the caller does not read.
--- a/src/http/httpmodule.cpp
+++ b/src/http/httpmodule.cpp
@@ -50,7 +50,7 @@
 {
   Answer answer;
   answer.m_body = "ok\n";
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -61,7 +61,7 @@
   if (aContext.Stopping().IsRequested()) {
     answer = FailureAnswer(core::Draining{ aContext.Self().m_host });
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -70,7 +70,7 @@
   Answer answer;
   answer.m_head.m_headers.push_back({ "Content-Type", "text/plain" });
   answer.m_body = kernel::ToPrometheusText(aContext.Metrics());
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 /// Runs on the control thread, which owns the state.
@@ -85,7 +85,7 @@
 {
   if (!aServer->IsOperator(aExchange.Asked())) {
     Answer refusal = FailureAnswer(core::Unauthorized{ "/dump" });
-    co_await aExchange.Respond(std::move(refusal));
+    co_await aExchange.Reply(std::move(refusal));
     co_return;
   }
   Answer answer;
@@ -93,7 +93,7 @@
   answer.m_body = co_await asio::co_spawn(aServer->Kernel().Control().Context(),
                                           TakeDump(aServer->Kernel()),
                                           asio::use_awaitable);
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 absl::Status
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -164,7 +164,7 @@
   Exchange exchange(*this, Request{}, m_loopIndex, false);
   Answer answer = FailureAnswer(aFailure);
   answer.m_head.m_status = aStatus;
-  co_await exchange.Respond(std::move(answer));
+  co_await exchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -176,7 +176,7 @@
     const core::Failure failure =
       core::NotFound{ std::string(PathOf(aExchange.Asked().m_target)) };
     Answer answer = FailureAnswer(failure);
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
     co_return;
   }
   std::string thrown;
@@ -194,7 +194,7 @@
     const core::Failure failure =
       core::TruncatedAnswer{ std::string(aExchange.Asked().m_target) };
     Answer answer = FailureAnswer(failure);
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
   }
 }
 
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -83,6 +83,13 @@
   co_return WriteStatus(error);
 }
 
+asio::awaitable<void>
+Exchange::Reply(Answer aAnswer)
+{
+  // HasEnded tells the connection whether it may be kept.
+  (void)co_await Respond(std::move(aAnswer));
+}
+
 asio::awaitable<absl::Status>
 Exchange::StartStream(AnswerHead aHead)
 {
--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -28,7 +28,7 @@
 {
   Answer answer;
   answer.m_body = aExchange.Asked().m_body;
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 boost::asio::awaitable<void>
@@ -41,12 +41,12 @@
 boost::asio::awaitable<void>
 StreamParts(Exchange& aExchange)
 {
-  co_await aExchange.StartStream(AnswerHead{});
+  (void)co_await aExchange.StartStream(AnswerHead{});
   for (int i = 0; i < 5; ++i) {
     const std::string part = "part" + std::to_string(i) + ";";
-    co_await aExchange.Write(part);
+    (void)co_await aExchange.Write(part);
   }
-  co_await aExchange.Finish();
+  (void)co_await aExchange.Finish();
 }
 
 std::string
--- a/src/rollout/decisions/shard.cpp
+++ b/src/rollout/decisions/shard.cpp
@@ -4,7 +4,9 @@
 
 #include "core/overloaded.h"
 #include "rollout/decisions/admission.h"
+#include "rollout/decisions/ages.h"
 #include "rollout/decisions/engines.h"
+#include "rollout/decisions/scoring.h"
 #include "rollout/decisions/stragglers.h"
 #include "rollout/decisions/streams.h"
 
@@ -27,31 +29,6 @@
     aPolicy);
 }
 
-/// Restarts the samples of a group that the staleness bound rules out.
-void
-RestartTooOld(ShardState& aState,
-              core::GroupOrdinal aOrdinal,
-              GroupProgress& aGroup,
-              Effects& aEffects)
-{
-  for (uint32_t member = 0; member < aGroup.m_samples.size(); ++member) {
-    SampleProgress& sample = aGroup.m_samples[member];
-    const bool tooOld =
-      !sample.m_spans.empty() &&
-      core::VersionsBehind(core::OldestVersion(sample.m_spans),
-                           aState.m_delivery.m_newest) >
-        aState.m_policy.m_stalenessBound;
-    if (!tooOld) {
-      continue;
-    }
-    aState.m_totals.m_tooOld += 1;
-    Restart(aState, { aOrdinal, member }, sample, aEffects);
-    aGroup.m_stage = GroupStage::Generating;
-    aGroup.m_scoringRuns = false;
-    aGroup.m_scoringAttempt += 1;
-  }
-}
-
 void
 DropWholeGroup(ShardState& aState,
                core::GroupOrdinal aOrdinal,
@@ -137,38 +114,6 @@
   }
 }
 
-/// True if the trainer's next version would make a sample too old.
-bool
-IsAtBound(const ShardState& aState, const SampleProgress& aSample)
-{
-  return !aSample.m_spans.empty() &&
-         core::VersionsBehind(core::OldestVersion(aSample.m_spans),
-                              aState.m_delivery.m_newest) >=
-           aState.m_policy.m_stalenessBound;
-}
-
-bool
-IsInWork(const GroupProgress& aGroup)
-{
-  return aGroup.m_stage == GroupStage::Generating ||
-         aGroup.m_stage == GroupStage::Scoring;
-}
-
-bool
-MustHold(const ShardState& aState)
-{
-  if (!std::holds_alternative<HoldBatch>(aState.m_policy.m_age)) {
-    return false;
-  }
-  return std::ranges::any_of(aState.m_groups, [&](const auto& aEntry) {
-    return IsInWork(aEntry.second) &&
-           std::ranges::any_of(aEntry.second.m_samples,
-                               [&](const SampleProgress& aSample) {
-                                 return IsAtBound(aState, aSample);
-                               });
-  });
-}
-
 void
 UpdateHold(ShardState& aState, core::Instant aNow, Effects& aEffects)
 {
@@ -189,37 +134,6 @@
   return oldest;
 }
 
-void
-StartScoring(ShardState& aState,
-             core::GroupOrdinal aOrdinal,
-             GroupProgress& aGroup,
-             core::Instant aNow,
-             Effects& aEffects)
-{
-  aGroup.m_stage = GroupStage::Scoring;
-  aGroup.m_scoringRuns = true;
-  aGroup.m_scoringAttempt += 1;
-  aGroup.m_scoringDeadline = aNow + aState.m_policy.m_scoringTime;
-  aEffects.push_back(
-    ScoreGroup{ aOrdinal, aGroup.m_scoringAttempt, aGroup.m_scoringDeadline });
-}
-
-void
-ScoreIfWhole(ShardState& aState,
-             core::GroupOrdinal aOrdinal,
-             GroupProgress& aGroup,
-             core::Instant aNow,
-             Effects& aEffects)
-{
-  const bool whole =
-    std::ranges::all_of(aGroup.m_samples, [](const SampleProgress& aSample) {
-      return aSample.m_stage == SampleStage::Finished;
-    });
-  if (whole && aGroup.m_stage == GroupStage::Generating) {
-    StartScoring(aState, aOrdinal, aGroup, aNow, aEffects);
-  }
-}
-
 /// Gives up a group whose sample breaks every engine.
 void
 Abandon(ShardState& aState,
@@ -236,30 +150,6 @@
   Deliver(aState, delivery::GroupReady{ aOrdinal, {}, true }, aNow, aEffects);
 }
 
-void
-ScoringAttemptFailed(ShardState& aState,
-                     GroupProgress& aGroup,
-                     core::Instant aNow)
-{
-  aState.m_totals.m_scoringFailures += 1;
-  aGroup.m_scoringRuns = false;
-  aGroup.m_scoringDeadline = aNow + aState.m_policy.m_scoringRetryTime;
-}
-
-GroupProgress*
-FindScoring(ShardState& aState, core::GroupOrdinal aOrdinal, uint32_t aAttempt)
-{
-  const auto found = aState.m_groups.find(aOrdinal);
-  if (found == aState.m_groups.end() ||
-      found->second.m_stage != GroupStage::Scoring ||
-      !found->second.m_scoringRuns ||
-      found->second.m_scoringAttempt != aAttempt) {
-    aState.m_totals.m_lateEvents += 1;
-    return nullptr;
-  }
-  return &found->second;
-}
-
 void
 On(ShardState& aState,
    const EnginesReported& aEvent,
@@ -338,22 +228,6 @@
   }
 }
 
-void
-RetryScoring(ShardState& aState, core::Instant aNow, Effects& aEffects)
-{
-  for (auto& [ordinal, group] : aState.m_groups) {
-    if (group.m_stage != GroupStage::Scoring ||
-        group.m_scoringDeadline > aNow) {
-      continue;
-    }
-    if (group.m_scoringRuns) {
-      ScoringAttemptFailed(aState, group, aNow);
-      continue;
-    }
-    StartScoring(aState, ordinal, group, aNow, aEffects);
-  }
-}
-
 void
 On(ShardState& aState,
    const TimerExpired&,
--- a/src/rollout/internal/shards.cpp
+++ b/src/rollout/internal/shards.cpp
@@ -292,7 +292,7 @@
   if (!pull.ok()) {
     m_context.Metrics().Get("rollout.invalid_pull").Add();
     http::Answer refusal = http::FailureAnswer(http::FailureOf(pull.status()));
-    co_await aExchange.Respond(std::move(refusal));
+    co_await aExchange.Reply(std::move(refusal));
     co_return;
   }
   auto reply = std::make_shared<PullReply>(
@@ -309,7 +309,7 @@
     answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
     answer.m_body = ToJson(std::get<BatchAnswer>(answered));
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 void
--- a/src/rollout/internal/shards.h
+++ b/src/rollout/internal/shards.h
@@ -3,6 +3,8 @@
 #include <map>
 #include <memory>
 
+#include "boost/json/value.hpp"
+
 #include "configuration/active.h"
 #include "gossip/gossip.h"
 #include "http/exchange.h"
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -71,9 +71,8 @@
     meter.m_ejection.m_until.time_since_epoch().count());
 }
 
-Router::Router(std::string_view aOwnDomain, kernel::Counters& aCounters)
+Router::Router(std::string_view aOwnDomain)
   : m_ownDomain{ std::string(aOwnDomain) }
-  , m_counters(aCounters)
 {
 }
 
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -78,7 +78,7 @@
 class Router
 {
 public:
-  Router(std::string_view aOwnDomain, kernel::Counters& aCounters);
+  explicit Router(std::string_view aOwnDomain);
 
   /// Control thread only.
   void SetHosts(std::span<const platform::HostEntry> aHosts);
@@ -96,7 +96,6 @@
   void Rebuild();
 
   core::FailureDomainId m_ownDomain;
-  kernel::Counters& m_counters;
   std::atomic<uint64_t> m_ticket{ 0 };
   std::vector<platform::HostEntry> m_hosts;
   configuration::Document m_document;
--- a/src/routing/routingmodule.cpp
+++ b/src/routing/routingmodule.cpp
@@ -20,8 +20,7 @@
 absl::Status
 Start(kernel::Context& aContext, const std::any&)
 {
-  auto router = std::make_shared<Router>(aContext.Self().m_failureDomain,
-                                         aContext.Metrics());
+  auto router = std::make_shared<Router>(aContext.Self().m_failureDomain);
   aContext.Provide(router);
   aContext.Get<platform::Hosts>()->Subscribe(
     [router](std::span<const platform::HostEntry> aHosts) {
--- a/src/standin/caller/callermodule.cpp
+++ b/src/standin/caller/callermodule.cpp
@@ -270,7 +270,7 @@
       { "said_not_run", ToArray(m_submissions.m_saidNotRun) },
       { "unknown", ToArray(m_submissions.m_unknown) } });
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 std::any
--- a/src/standin/engine/enginemodule.cpp
+++ b/src/standin/engine/enginemodule.cpp
@@ -184,7 +184,7 @@
   if (!message.ok()) {
     http::Answer refusal =
       http::FailureAnswer(http::FailureOf(message.status()));
-    co_await aExchange.Respond(std::move(refusal));
+    co_await aExchange.Reply(std::move(refusal));
     co_return;
   }
   co_await TakeSlot(message->m_priority, aExchange.LoopIndex());
@@ -221,8 +221,8 @@
   if (sent.ok()) {
     const boost::json::value end{ { "end", true }, { "tokens", offset } };
     const std::string bytes = boost::json::serialize(end) + "\n";
-    co_await aExchange.Write(bytes);
-    co_await aExchange.Finish();
+    (void)co_await aExchange.Write(bytes);
+    (void)co_await aExchange.Finish();
   }
 }
 
@@ -234,7 +234,7 @@
   http::Answer answer;
   if (!order.ok()) {
     answer = http::FailureAnswer(http::FailureOf(order.status()));
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
     co_return;
   }
   bool refused = false;
@@ -245,13 +245,13 @@
   }
   if (refused) {
     answer = http::FailureAnswer(core::FenceRejected{ m_fence });
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
     co_return;
   }
   co_await Sleep(m_settings.m_loadTime);
   m_version.store(std::max(m_version.load(), order->m_version));
   answer.m_body = "{}";
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -267,7 +267,7 @@
                           { "slots", m_settings.m_slots },
                           { "leaving", false } });
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -283,7 +283,7 @@
     answer.m_body = boost::json::serialize(
       boost::json::value{ { "tokens_by_version", tokens } });
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 void
--- a/src/standin/objectapi/objectapi.cpp
+++ b/src/standin/objectapi/objectapi.cpp
@@ -108,7 +108,7 @@
   }
   http::Answer answer;
   answer.m_head.m_status = faults.m_down ? 503 : 429;
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
   co_return true;
 }
 
@@ -128,7 +128,7 @@
                ? http::FailureAnswer(core::NotFound{ key.m_name })
                : JsonAnswer(200, ToValue(found->second));
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -142,7 +142,7 @@
     aExchange.Asked().m_body, "write", ReadWrite);
   if (!write.ok()) {
     http::Answer refusal = http::FailureAnswer(http::FailureOf(write.status()));
-    co_await aExchange.Respond(std::move(refusal));
+    co_await aExchange.Reply(std::move(refusal));
     co_return;
   }
   http::Answer answer;
@@ -172,10 +172,10 @@
   }
   if (loseReply) {
     // An answer that is begun and never ended closes the connection.
-    co_await aExchange.StartStream(http::AnswerHead{});
+    (void)co_await aExchange.StartStream(http::AnswerHead{});
     co_return;
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 std::string
@@ -240,7 +240,7 @@
     });
     answer.m_body = ListJson(kind);
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -264,7 +264,7 @@
   } else {
     SetFaults(*faults);
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 void
--- a/src/standin/plainservice/plainservicemodule.cpp
+++ b/src/standin/plainservice/plainservicemodule.cpp
@@ -57,7 +57,7 @@
   answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
   answer.m_body = boost::json::serialize(
     boost::json::value{ { "id", id }, { "target", asked.m_target } });
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -72,7 +72,7 @@
   http::Answer answer;
   if (!texts.ok()) {
     answer = http::FailureAnswer(http::FailureOf(texts.status()));
-    co_await aExchange.Respond(std::move(answer));
+    co_await aExchange.Reply(std::move(answer));
     co_return;
   }
   boost::json::array scores;
@@ -81,7 +81,7 @@
   }
   answer.m_body = boost::json::serialize(
     boost::json::value{ { "scores", std::move(scores) } });
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 asio::awaitable<void>
@@ -97,7 +97,7 @@
   http::Answer answer;
   answer.m_body =
     boost::json::serialize(boost::json::value{ { "runs", std::move(runs) } });
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 void
--- a/src/standin/trainer/trainer.cpp
+++ b/src/standin/trainer/trainer.cpp
@@ -202,7 +202,7 @@
   write.m_method = "PUT";
   write.m_target = target;
   write.m_body = boost::json::serialize(body);
-  co_await client.Call(
+  (void)co_await client.Call(
     store, std::move(write), http::Reuse::Allowed, kernel::Now() + kStoreTime);
 }
 
@@ -246,7 +246,7 @@
       { "pulls", m_pulls },
       { "tokens_by_version", std::move(tokens) } });
   }
-  co_await aExchange.Respond(std::move(answer));
+  co_await aExchange.Reply(std::move(answer));
 }
 
 } // namespace heatherdeal::standin
