--- /dev/null
+++ b/cmake/install.cmake
@@ -0,0 +1,23 @@
+# The package for programs that embed the coordination parts.
+set(public_headers
+  core/failure.h core/ids.h core/instant.h core/overloaded.h core/sample.h
+  core/weightversion.h
+  configuration/document.h
+  delivery/deliverywindow.h delivery/doneset.h delivery/trainercursor.h
+  discovery/addresses.h
+  forwarding/attempts.h forwarding/quarantine.h
+  gossip/digest.h gossip/members.h
+  lease/candidates.h lease/lease.h
+  platform/backoff.h platform/callbudget.h platform/object.h
+  rollout/policy.h rollout/shard.h
+  routing/choice.h routing/ejection.h
+  weights/wave.h)
+foreach(header ${public_headers})
+  get_filename_component(folder ${header} DIRECTORY)
+  install(FILES src/${header} DESTINATION include/heatherdeal/${folder})
+endforeach()
+install(TARGETS heatherdeal_coordination EXPORT heatherdealTargets
+  ARCHIVE DESTINATION lib)
+install(EXPORT heatherdealTargets NAMESPACE heatherdeal::
+  DESTINATION lib/cmake/heatherdeal)
+install(FILES cmake/heatherdealConfig.cmake DESTINATION lib/cmake/heatherdeal)
--- /dev/null
+++ b/src/fuzz/fuzzdigest.cpp
@@ -0,0 +1,25 @@
+// Frames and digests as a stranger could send them.
+
+#include <cstdint>
+#include <span>
+
+#include "gossip/internal/digestcodec.h"
+#include "protocol/frame.h"
+
+extern "C" int
+LLVMFuzzerTestOneInput(const uint8_t* aData, size_t aSize)
+{
+  using namespace heatherdeal;
+  const auto bytes = std::as_bytes(std::span(aData, aSize));
+  const protocol::KeyRing keys{ 1, { { 1, "a key of the fuzzer" } } };
+  (void)protocol::Open(keys, bytes);
+  const auto digest = gossip::Decode(bytes);
+  if (digest.ok()) {
+    // What decodes encodes to something that decodes to the same.
+    const auto again = gossip::Decode(gossip::Encode(*digest));
+    if (!again.ok() || !(*again == *digest)) {
+      __builtin_trap();
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/fuzz/fuzzpull.cpp
@@ -0,0 +1,18 @@
+// Pulls as a trainer could send them.
+
+#include <cstdint>
+#include <string_view>
+
+#include "rollout/internal/pulljson.h"
+
+extern "C" int
+LLVMFuzzerTestOneInput(const uint8_t* aData, size_t aSize)
+{
+  using namespace heatherdeal;
+  const std::string_view text(reinterpret_cast<const char*>(aData), aSize);
+  const auto pull = rollout::ParsePull(text);
+  if (pull.ok() && !delivery::IsWellFormed(pull->m_cursor.m_done)) {
+    __builtin_trap();
+  }
+  return 0;
+}
--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -58,7 +58,8 @@
   options.add_options()("h,help", "print this help")("version",
                                                      "print the version")(
     "settings", "settings file in JSON", cxxopts::value<std::string>(), "FILE")(
-    "check", "check the settings and exit");
+    "check", "check the settings and exit")(
+    "plugins", "print the plug-ins of this binary");
   try {
     const cxxopts::ParseResult parsed = options.parse(aArgc, aArgv);
     if (parsed.count("help") > 0) {
@@ -69,6 +70,12 @@
       std::cout << aProgram.m_name << ' ' << HEATHERDEAL_VERSION << '\n';
       return ExitCode::Ok;
     }
+    if (parsed.count("plugins") > 0) {
+      for (const std::string_view name : RegisteredPlugins()) {
+        std::cout << name << '\n';
+      }
+      return ExitCode::Ok;
+    }
     if (parsed.count("settings") == 0 || !parsed.unmatched().empty()) {
       std::cerr << options.help() << '\n';
       return ExitCode::Usage;
