--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -41,7 +41,8 @@
 boost::asio::awaitable<void>
 StreamParts(Exchange& aExchange)
 {
-  (void)co_await aExchange.StartStream(AnswerHead{});
+  AnswerHead head;
+  (void)co_await aExchange.StartStream(std::move(head));
   for (int i = 0; i < 5; ++i) {
     const std::string part = "part" + std::to_string(i) + ";";
     (void)co_await aExchange.Write(part);
--- a/src/standin/engine/enginemodule.cpp
+++ b/src/standin/engine/enginemodule.cpp
@@ -83,6 +83,7 @@
   asio::awaitable<void> Order(http::Exchange& aExchange);
   asio::awaitable<void> Load(http::Exchange& aExchange);
   asio::awaitable<void> Seen(http::Exchange& aExchange);
+  asio::awaitable<void> Crash(http::Exchange& aExchange);
   asio::awaitable<void> TakeSlot(Priority aPriority, size_t aLoopIndex);
   void GiveSlot();
   void Note(uint64_t aVersion, uint32_t aTokens);
@@ -94,6 +95,8 @@
   std::vector<Waiter> m_waiters;
   std::atomic<uint64_t> m_version{ kFirstVersion };
   uint64_t m_fence = 0;
+  /// Raised by each crash; streams of an earlier one break off.
+  std::atomic<uint64_t> m_incarnation{ 0 };
   std::map<uint64_t, uint64_t> m_tokensByVersion;
 };
 
@@ -199,10 +202,16 @@
                                    aMessage.m_prompt,
                                    aMessage.m_seed,
                                    aMessage.m_maxTokens);
-  absl::Status sent = co_await aExchange.StartStream(http::AnswerHead{});
+  const uint64_t incarnation = m_incarnation.load();
+  http::AnswerHead head;
+  absl::Status sent = co_await aExchange.StartStream(std::move(head));
   uint32_t offset = aMessage.m_resumeTokens;
   while (sent.ok() && offset < length) {
     co_await Sleep(m_settings.m_chunkTime);
+    if (incarnation != m_incarnation.load()) {
+      // Begun and never ended: the connection is closed.
+      co_return;
+    }
     const uint32_t tokens = std::min(m_settings.m_chunkTokens, length - offset);
     const uint64_t version = m_version.load();
     std::string text;
@@ -286,6 +295,15 @@
   co_await aExchange.Reply(std::move(answer));
 }
 
+asio::awaitable<void>
+Engine::Crash(http::Exchange& aExchange)
+{
+  m_incarnation.fetch_add(1);
+  m_version.store(kFirstVersion);
+  http::Answer answer;
+  co_await aExchange.Reply(std::move(answer));
+}
+
 void
 Engine::AddRoutes()
 {
@@ -300,6 +318,9 @@
   server->AddRoute({ "GET", "/v1/load", [self](http::Exchange& aExchange) {
                       return self->Load(aExchange);
                     } });
+  server->AddRoute({ "POST", "/crash", [self](http::Exchange& aExchange) {
+                      return self->Crash(aExchange);
+                    } });
   server->AddRoute({ "GET", "/seen", [self](http::Exchange& aExchange) {
                       return self->Seen(aExchange);
                     } });
--- a/src/standin/objectapi/objectapi.cpp
+++ b/src/standin/objectapi/objectapi.cpp
@@ -172,7 +172,8 @@
   }
   if (loseReply) {
     // An answer that is begun and never ended closes the connection.
-    (void)co_await aExchange.StartStream(http::AnswerHead{});
+    http::AnswerHead head;
+    (void)co_await aExchange.StartStream(std::move(head));
     co_return;
   }
   co_await aExchange.Reply(std::move(answer));
