Live streams go on at another engine; leaving entries wait for the others

Cause of the first kind: streams cut off by an engine's crash (truncated-answer, seen in the log). Cause of a second kind, by reasoning: an entry host held out one lifetime of address answers, but others give its address until they hear that it leaves. Change: entry hosts follow streams of tokens by whole lines and ask another engine for the rest (calls marked idempotent); a leaving host adds 3 s. Other answers in mid-stream still end without an end mark, truthfully.

--- a/src/audit/findings.cpp
+++ b/src/audit/findings.cpp
@@ -50,6 +50,7 @@
 {
   aFindings.m_requests += Number(aSeen, "requests");
   aFindings.m_failures += Number(aSeen, "failures");
+  aFindings.m_unanswered += Number(aSeen, "unanswered");
   aFindings.m_wrongAnswers += Number(aSeen, "wrong_answers");
   for (const auto& id : aSeen.at("said_not_run").as_array()) {
     aFindings.m_falselySaidNotRun +=
@@ -154,6 +155,7 @@
     broken, "tokens of misnamed versions", aFindings.m_misnamedVersions);
   AddIfBroken(broken, "samples over the bound", aFindings.m_tooOld);
   AddIfBroken(broken, "trainers unfinished", aFindings.m_unfinishedTrainers);
+  AddIfBroken(broken, "calls cut off or not taken", aFindings.m_unanswered);
   AddIfBroken(broken, "wrong answers", aFindings.m_wrongAnswers);
   AddIfBroken(broken, "submissions that ran twice", aFindings.m_ranTwice);
   AddIfBroken(
--- a/src/audit/findings.h
+++ b/src/audit/findings.h
@@ -29,6 +29,7 @@
   uint64_t m_unfinishedTrainers = 0;
   uint64_t m_requests = 0;
   uint64_t m_failures = 0;
+  uint64_t m_unanswered = 0;
   uint64_t m_wrongAnswers = 0;
   uint64_t m_ranTwice = 0;
   uint64_t m_falselySaidNotRun = 0;
--- a/src/discovery/discoverymodule.cpp
+++ b/src/discovery/discoverymodule.cpp
@@ -23,6 +23,8 @@
 struct DiscoverySettings
 {
   core::Duration m_lifetime = std::chrono::seconds(10);
+  /// How long the other hosts may take to hear that this one leaves.
+  core::Duration m_leaveMargin = std::chrono::seconds(3);
   uint32_t m_answers = 3;
 };
 
@@ -45,6 +47,8 @@
   DiscoverySettings settings;
   settings.m_lifetime = aReader.MillisecondsOr(
     "lifetime_ms", { 1, kMaxLifetimeMilliseconds }, settings.m_lifetime);
+  settings.m_leaveMargin = aReader.MillisecondsOr(
+    "leave_margin_ms", { 0, kMaxLifetimeMilliseconds }, settings.m_leaveMargin);
   settings.m_answers = static_cast<uint32_t>(
     aReader.IntegerOr("answers", { 1, kMaxAnswers }, settings.m_answers));
   return settings;
@@ -133,7 +137,10 @@
   std::weak_ptr<Discovery> weak = discovery;
   discovery->m_drainTimer = std::make_unique<kernel::DeadlineTimer>(
     aContext.Control(), [weak] { weak.lock()->m_drainHold.reset(); });
+  // Others give this address until they hear; the last such answer lapses a
+  // whole lifetime later.
   discovery->m_drainTimer->Set(kernel::Now() +
+                               discovery->m_settings.m_leaveMargin +
                                discovery->m_settings.m_lifetime);
 }
 
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view kExecutedHeader = "X-Heatherdeal-Executed";
 constexpr std::string_view kRequestIdHeader = "X-Heatherdeal-Request-Id";
 constexpr size_t kWholeAnswerBytes = 64 * 1024;
+constexpr std::string_view kGeneratePath = "/v1/generate";
+constexpr uint32_t kOk = 200;
 constexpr uint32_t kTooManyRequests = 429;
 constexpr uint32_t kUnavailable = 503;
 
@@ -187,7 +189,8 @@
       m_forwarder.m_context.Metrics().Get("forwarding.retries").Add();
       continue;
     }
-    if (const GiveUp* giveUp = std::get_if<GiveUp>(&step)) {
+    const GiveUp* giveUp = std::get_if<GiveUp>(&step);
+    if (giveUp != nullptr && !m_exchange.HasBegun()) {
       co_await TellFailure(giveUp->m_failure);
       co_return;
     }
@@ -226,7 +229,7 @@
   http::Request request;
   request.m_method = asked.m_method;
   request.m_headers = EndToEnd(asked.m_headers);
-  request.m_body = asked.m_body;
+  request.m_body = m_generation.RestOf(asked.m_body);
   // The service sees the path behind /apps/SERVICE.
   const std::string prefix = "/apps/" + m_pool->m_service.m_name.m_value;
   request.m_target = asked.m_target.substr(prefix.size());
@@ -284,6 +287,12 @@
                          (*answer)->Head().m_status,
                          core::Executed::No });
   }
+  if (m_exchange.HasBegun() && !IsResumable((*answer)->Head())) {
+    co_return core::ToStatus(
+      core::PeerRefused{ http::ToText(ticket->Chosen().m_endpoint),
+                         (*answer)->Head().m_status,
+                         core::Executed::Unknown });
+  }
   const absl::Status relayed = co_await Relay(**answer);
   if (relayed.ok()) {
     NoteSuccess(*ticket);
@@ -296,6 +305,9 @@
 asio::awaitable<absl::Status>
 Call::Relay(http::AnswerStream& aAnswer)
 {
+  if (IsResumable(aAnswer.Head())) {
+    return RelayGeneration(aAnswer);
+  }
   const std::string_view length =
     http::FindHeader(aAnswer.Head().m_headers, "Content-Length");
   size_t bytes = 0;
@@ -308,6 +320,44 @@
   return RelayStream(aAnswer);
 }
 
+bool
+Call::IsResumable(const http::AnswerHead& aHead) const
+{
+  return m_facts.m_idempotent && aHead.m_status == kOk &&
+         std::holds_alternative<configuration::ModelEngines>(
+           m_pool->m_service.m_kind) &&
+         http::PathOf(m_exchange.Asked().m_target).ends_with(kGeneratePath);
+}
+
+asio::awaitable<absl::Status>
+Call::RelayGeneration(http::AnswerStream& aAnswer)
+{
+  absl::Status sent = absl::OkStatus();
+  if (!m_exchange.HasBegun()) {
+    http::AnswerHead head;
+    head.m_headers = EndToEnd(aAnswer.Head().m_headers);
+    sent = co_await m_exchange.StartStream(std::move(head));
+  }
+  while (sent.ok() && !m_generation.HasEnded()) {
+    absl::StatusOr<std::string_view> part =
+      co_await aAnswer.Read(m_facts.m_deadline);
+    if (part.ok() && part->empty()) {
+      // The stream is over and its end mark has not come.
+      part = core::ToStatus(core::TruncatedAnswer{ "upstream" });
+    }
+    if (!part.ok()) {
+      m_generation.Break();
+      co_return part.status();
+    }
+    sent = co_await m_exchange.Write(m_generation.Accept(*part));
+  }
+  if (sent.ok()) {
+    sent = co_await m_exchange.Finish();
+  }
+  m_callerGone = !sent.ok();
+  co_return sent;
+}
+
 asio::awaitable<absl::Status>
 Call::RelayWhole(http::AnswerStream& aAnswer)
 {
--- a/src/forwarding/internal/call.h
+++ b/src/forwarding/internal/call.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "forwarding/internal/forwarder.h"
+#include "forwarding/internal/generation.h"
 
 namespace heatherdeal::forwarding {
 
@@ -28,6 +29,10 @@
   boost::asio::awaitable<absl::Status> RelayStream(http::AnswerStream& aAnswer);
 
   boost::asio::awaitable<void> TellFailure(core::Failure aFailure);
+  boost::asio::awaitable<absl::Status> RelayGeneration(
+    http::AnswerStream& aAnswer);
+  /// True for a stream of tokens that another engine can go on with.
+  bool IsResumable(const http::AnswerHead& aHead) const;
   http::Request ToUpstream() const;
   NextStep Decide(const core::Failure& aFailure);
   void NoteFailure(routing::Ticket& aTicket, const core::Failure& aFailure);
@@ -40,6 +45,7 @@
   CallFacts m_facts;
   CallProgress m_progress;
   std::vector<size_t> m_tried;
+  Generation m_generation;
   uint64_t m_fingerprint = 0;
   /// Name of the record of a call that may not be repeated; "": none.
   std::string m_recordName;
--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -80,7 +80,10 @@
     configuration::Service service;
     service.m_name.m_value = "desk";
     service.m_callTime = seconds(2);
-    document.m_services = { service };
+    configuration::Service engines = service;
+    engines.m_name.m_value = "model";
+    engines.m_kind = configuration::ModelEngines{ "weights" };
+    document.m_services = { service, engines };
     m_router->SetDocument(document);
     m_forwarder = std::make_shared<Forwarder>(context);
     m_loopback.Http().AddRoute(
@@ -91,13 +94,14 @@
   }
 
   void SetUpstreams(std::span<const core::Endpoint> aUpstreams,
-                    bool aLeaving = false)
+                    bool aLeaving = false,
+                    std::string_view aService = "desk")
   {
     std::vector<platform::HostEntry> hosts;
     for (const core::Endpoint& upstream : aUpstreams) {
       platform::HostEntry host;
       host.m_name = http::ToText(upstream);
-      host.m_service = "desk";
+      host.m_service = aService;
       host.m_endpoint = upstream;
       host.m_failureDomain.m_value = "d0";
       host.m_slots = 8;
@@ -229,6 +233,53 @@
   CHECK(truncating.Accepted() > 0);
 }
 
+TEST_CASE("a stream of tokens that breaks goes on at another engine")
+{
+  const Platform platform;
+  Entry entry(platform);
+  const std::string line = "{\"tokens\":2,\"text\":\"a b \"}\n";
+  const http::RawServer breaking(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1b\r\n" + line +
+    "\r\n");
+  REQUIRE(line.size() == 0x1b);
+  http::Loopback healthy(AnyPort());
+  std::atomic<int> resumed{ 0 };
+  healthy.Http().AddRoute(
+    { "POST",
+      "/v1/generate",
+      [&resumed](http::Exchange& aExchange) -> boost::asio::awaitable<void> {
+        const std::string& body = aExchange.Asked().m_body;
+        const bool rest = body.find("\"resume_tokens\":2") != std::string::npos;
+        resumed.fetch_add(rest ? 1 : 0);
+        const std::string tokens = rest
+                                     ? "{\"tokens\":1,\"text\":\"c \"}\n"
+                                     : "{\"tokens\":3,\"text\":\"a b c \"}\n";
+        http::AnswerHead head;
+        (void)co_await aExchange.StartStream(std::move(head));
+        (void)co_await aExchange.Write(tokens);
+        (void)co_await aExchange.Write("{\"end\":true,\"tokens\":3}\n");
+        (void)co_await aExchange.Finish();
+      } });
+  healthy.Listen();
+  const core::Endpoint both[] = { breaking.Endpoint(), healthy.Self() };
+  entry.SetUpstreams(both, false, "model");
+  for (int i = 0; i < 6; ++i) {
+    const auto answer =
+      entry.m_loopback.Call(entry.m_loopback.Self(),
+                            { "POST",
+                              "/apps/model/v1/generate",
+                              { { "X-Heatherdeal-Idempotent", "true" } },
+                              "{\"prompt\":\"p" + std::to_string(i) + "\"}" },
+                            http::Reuse::Never,
+                            seconds(5));
+    REQUIRE(answer.ok());
+    CHECK(answer->m_head.m_status == 200);
+    CHECK(Says(*answer, "c "));
+    CHECK(Says(*answer, "\"end\":true"));
+  }
+  CHECK(resumed.load() > 0);
+}
+
 TEST_CASE("a request that breaks each upstream is refused after two")
 {
   const Platform platform;
--- a/src/fuzz/fuzzshard.cpp
+++ b/src/fuzz/fuzzshard.cpp
@@ -88,8 +88,8 @@
       continue;
     }
     for (const delivery::GroupHead& group : send->m_batch.m_groups) {
-      const uint64_t behind = core::VersionsBehind(
-        group.m_oldest, aShard.m_delivery.m_newest);
+      const uint64_t behind =
+        core::VersionsBehind(group.m_oldest, aShard.m_delivery.m_newest);
       if (behind > aShard.m_policy.m_stalenessBound) {
         __builtin_trap();
       }
--- a/src/standin/caller/callermodule.cpp
+++ b/src/standin/caller/callermodule.cpp
@@ -9,6 +9,7 @@
 
 #include "http/httpmodule.h"
 #include "kernel/json.h"
+#include "kernel/log.h"
 #include "kernel/plugin.h"
 #include "standin/endpoints.h"
 #include "standin/engine/generation.h"
@@ -47,6 +48,8 @@
   uint64_t m_requests = 0;
   uint64_t m_answers = 0;
   uint64_t m_failures = 0;
+  /// Calls that got no answer at all: cut off, or nobody there.
+  uint64_t m_unanswered = 0;
   uint64_t m_wrongAnswers = 0;
   uint64_t m_submissions = 0;
 };
@@ -211,9 +214,14 @@
     entry, std::move(request), reuse, kernel::Now() + kCallTime);
   if (!answer.ok()) {
     aLocator.Reject();
+    kernel::Log(kernel::LogLevel::Warning,
+                "caller",
+                "event=unanswered id=" + aId + " peer=" + http::ToText(entry) +
+                  " " + std::string(answer.status().message()));
   }
   const std::scoped_lock lock(m_mutex);
   m_counts.m_requests += 1;
+  m_counts.m_unanswered += answer.ok() ? 0 : 1;
   if (kind == CallKind::Submission) {
     NoteSubmission(aId, answer);
   }
@@ -265,6 +273,7 @@
       { "requests", m_counts.m_requests },
       { "answers", m_counts.m_answers },
       { "failures", m_counts.m_failures },
+      { "unanswered", m_counts.m_unanswered },
       { "wrong_answers", m_counts.m_wrongAnswers },
       { "answered", ToArray(m_submissions.m_answered) },
       { "said_not_run", ToArray(m_submissions.m_saidNotRun) },
