Clean-up: one sleep, one small world, one test for a crash

Cause: duplicates showed the same coroutine sleep four times, the small world's settings twice and the question whether a peer may have crashed twice.

--- a/src/bench/capacitytable.cpp
+++ b/src/bench/capacitytable.cpp
@@ -43,7 +43,7 @@
 constexpr double kStoreWritesBudget = 300;
 constexpr double kStoreReadsBudget = 2000;
 
-using Lines = std::map<std::string, Line>;
+using Lines = std::map<std::string, Line, std::less<>>;
 
 /// The value at the greatest size of each series.
 using LastValues = std::map<std::string, double>;
@@ -77,11 +77,11 @@
 }
 
 double
-At(const Lines& aLines, const std::string& aName, double aSize)
+At(const Lines& aLines, std::string_view aName, double aSize)
 {
   const auto found = aLines.find(aName);
   if (found == aLines.end()) {
-    throw std::runtime_error("no series " + aName);
+    throw std::runtime_error("no series " + std::string(aName));
   }
   return found->second.m_base + found->second.m_slope * aSize;
 }
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -239,6 +239,17 @@
     aFailure);
 }
 
+bool
+MayHaveCrashed(const Failure& aFailure)
+{
+  return std::visit(Overloaded{ [](const TruncatedAnswer&) { return true; },
+                                [](const ConnectionFailed& aF) {
+                                  return aF.m_executed != Executed::No;
+                                },
+                                [](const auto&) { return false; } },
+                    aFailure);
+}
+
 std::string_view
 ToText(Executed aExecuted)
 {
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -214,6 +214,10 @@
 Executed
 ExecutedOf(const Failure& aFailure);
 
+/// True if the peer may have gone down with the request.
+bool
+MayHaveCrashed(const Failure& aFailure);
+
 /// "no", "unknown" or "yes".
 std::string_view
 ToText(Executed aExecuted);
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -105,19 +105,6 @@
   return busy && http::FindHeader(aHead.m_headers, kExecutedHeader) == "no";
 }
 
-/// True if the upstream may have gone down with the request.
-bool
-LooksLikeCrash(const core::Failure& aFailure)
-{
-  return std::visit(
-    core::Overloaded{ [](const core::TruncatedAnswer&) { return true; },
-                      [](const core::ConnectionFailed& aF) {
-                        return aF.m_executed != core::Executed::No;
-                      },
-                      [](const auto&) { return false; } },
-    aFailure);
-}
-
 } // namespace
 
 Call::Call(Forwarder& aForwarder,
@@ -406,7 +393,7 @@
 {
   const core::Instant now = kernel::Now();
   aTicket.Failed(now);
-  if (!LooksLikeCrash(aFailure)) {
+  if (!core::MayHaveCrashed(aFailure)) {
     return;
   }
   const std::scoped_lock lock(m_meter->m_mutex);
--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -132,18 +132,19 @@
 }
 
 std::optional<boost::json::value>
-ReadDocument(const std::string& aFile, SettingsErrors& aErrors)
+ReadDocument(std::string_view aFile, SettingsErrors& aErrors)
 {
-  std::ifstream stream(aFile);
+  std::ifstream stream{ std::string(aFile) };
   if (!stream) {
-    aErrors.m_errors.push_back({ "$", aFile, "a readable file" });
+    aErrors.m_errors.push_back({ "$", std::string(aFile), "a readable file" });
     return std::nullopt;
   }
   const std::string text{ std::istreambuf_iterator<char>(stream), {} };
   boost::json::error_code error;
   boost::json::value document = boost::json::parse(text, error);
   if (error) {
-    aErrors.m_errors.push_back({ "$", aFile, "JSON: " + error.message() });
+    aErrors.m_errors.push_back(
+      { "$", std::string(aFile), "JSON: " + error.message() });
     return std::nullopt;
   }
   return document;
--- a/src/platform/internal/objectstore.cpp
+++ b/src/platform/internal/objectstore.cpp
@@ -6,7 +6,8 @@
 #include "boost/asio/steady_timer.hpp"
 #include "boost/asio/use_awaitable.hpp"
 
-#include "kernel/log.h"
+#include "core/failure.h"
+#include "kernel/sleep.h"
 #include "platform/internal/objectcalls.h"
 
 namespace heatherdeal::platform {
@@ -28,15 +29,6 @@
     [aDone = std::move(aDone), held] { aDone(std::move(*held)); });
 }
 
-asio::awaitable<void>
-WaitUntil(core::Instant aInstant)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor,
-                           kernel::ToSteady(aInstant));
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 bool
 MayHaveTakenEffect(const absl::Status& aStatus)
 {
@@ -137,7 +129,8 @@
       if (absl::IsOutOfRange(list.status())) {
         revision.reset();
       }
-      co_await WaitUntil(NextTry(backoff, aTask.m_backoff, kernel::Now()));
+      co_await kernel::SleepUntil(
+        NextTry(backoff, aTask.m_backoff, kernel::Now()));
       continue;
     }
     if (revision && list->m_revision == *revision) {
@@ -148,7 +141,8 @@
     if (revision && list->m_revision < *revision) {
       aContext.Metrics().Get("platform.stale_list").Add();
       endpoint += 1;
-      co_await WaitUntil(NextTry(backoff, aTask.m_backoff, kernel::Now()));
+      co_await kernel::SleepUntil(
+        NextTry(backoff, aTask.m_backoff, kernel::Now()));
       continue;
     }
     backoff.m_failures = 0;
--- a/src/rollout/decisions/streams.cpp
+++ b/src/rollout/decisions/streams.cpp
@@ -53,19 +53,6 @@
     aFailure);
 }
 
-/// True if the engine may have gone down with the request.
-bool
-LooksLikeCrash(const core::Failure& aFailure)
-{
-  return std::visit(
-    core::Overloaded{ [](const core::TruncatedAnswer&) { return true; },
-                      [](const core::ConnectionFailed& aF) {
-                        return aF.m_executed != core::Executed::No;
-                      },
-                      [](const auto&) { return false; } },
-    aFailure);
-}
-
 void
 Begin(ShardState& aState,
       const core::SampleId& aId,
@@ -240,7 +227,7 @@
   }
   LeaveEngine(aState, sample);
   sample.m_stage = SampleStage::Queued;
-  if (LooksLikeCrash(aEvent.m_failure)) {
+  if (core::MayHaveCrashed(aEvent.m_failure)) {
     sample.m_crashes += 1;
   }
   const bool hopeless = sample.m_crashes >= aState.m_policy.m_crashLimit;
--- a/src/rollout/tests/shardpropertytest.cpp
+++ b/src/rollout/tests/shardpropertytest.cpp
@@ -88,24 +88,11 @@
 }
 
 WorldSettings
-SmallWorld(uint64_t aSeed, uint32_t aStraggler)
+RandomWorld(uint64_t aSeed, uint32_t aStraggler)
 {
-  WorldSettings settings;
+  WorldSettings settings = SmallWorld();
   settings.m_seed = aSeed;
-  settings.m_engines = 3;
-  settings.m_slotsPerEngine = 6;
-  settings.m_lengths.m_medianTokens = 80.0;
-  settings.m_chunkTokens = 16;
-  settings.m_trainTime = seconds(3);
-  settings.m_loadTime = seconds(1);
-  settings.m_pullWait = seconds(4);
-  settings.m_pullTime = seconds(6);
-  settings.m_shard.m_groupsPerBatch = 3;
-  settings.m_shard.m_samplesPerGroup = 2;
-  settings.m_shard.m_stalenessBound = 2;
-  settings.m_shard.m_progressTime = seconds(4);
   settings.m_shard.m_straggler = StragglerOf(aStraggler);
-  settings.m_wave.m_orderTime = seconds(4);
   if (aSeed % 2 == 0) {
     settings.m_lease.m_outage = lease::GoOnUntilTaken{};
   }
@@ -145,7 +132,7 @@
       const auto straggler = *Number(0, 2);
       const auto faults =
         *rc::gen::container<std::vector<TimedFault>>(AnyTimedFault());
-      World world(SmallWorld(aSeed, straggler));
+      World world(RandomWorld(aSeed, straggler));
       Schedule(world, faults);
       world.Start();
       const core::Instant start{};
@@ -168,7 +155,7 @@
 TEST_CASE("the oracle sees what it is there to see")
 {
   EventQueue queue;
-  WorldSettings settings = SmallWorld(1, 1);
+  WorldSettings settings = RandomWorld(1, 1);
   VirtualTrainer trainer(queue, settings);
   trainer.m_sendPull = [](size_t, uint64_t, const delivery::Cursor&) {};
   trainer.m_publish = [](core::WeightVersion) {};
--- a/src/scenario/run.cpp
+++ b/src/scenario/run.cpp
@@ -13,29 +13,6 @@
 using virtualworld::World;
 using virtualworld::WorldSettings;
 
-/// A world that is small enough for scripts to run in a moment.
-WorldSettings
-DefaultWorld()
-{
-  using std::chrono::seconds;
-  WorldSettings settings;
-  settings.m_engines = 3;
-  settings.m_slotsPerEngine = 6;
-  settings.m_lengths.m_medianTokens = 80.0;
-  settings.m_chunkTokens = 16;
-  settings.m_trainTime = seconds(3);
-  settings.m_loadTime = seconds(1);
-  settings.m_pullWait = seconds(4);
-  settings.m_pullTime = seconds(6);
-  settings.m_shard.m_groupsPerBatch = 3;
-  settings.m_shard.m_samplesPerGroup = 2;
-  settings.m_shard.m_stalenessBound = 2;
-  settings.m_shard.m_progressTime = seconds(4);
-  settings.m_wave.m_orderTime = seconds(4);
-  settings.m_lease.m_outage = lease::GoOnUntilTaken{};
-  return settings;
-}
-
 bool
 ApplyStraggler(WorldSettings& aSettings, std::string_view aValue)
 {
@@ -190,7 +167,8 @@
 absl::StatusOr<std::vector<UnmetStep>>
 RunScript(std::span<const Step> aSteps)
 {
-  WorldSettings settings = DefaultWorld();
+  WorldSettings settings = virtualworld::SmallWorld();
+  settings.m_lease.m_outage = lease::GoOnUntilTaken{};
   std::vector<virtualworld::TimedFault> faults;
   for (const Step& step : aSteps) {
     if (const auto* set = std::get_if<SetStep>(&step.m_action)) {
--- a/src/standin/engine/enginemodule.cpp
+++ b/src/standin/engine/enginemodule.cpp
@@ -13,6 +13,7 @@
 #include "kernel/json.h"
 #include "kernel/plugin.h"
 #include "kernel/reply.h"
+#include "kernel/sleep.h"
 #include "standin/engine/generation.h"
 
 // Stand-in for a model engine: streams tokens, loads versions, reports load.
@@ -100,15 +101,6 @@
   std::map<uint64_t, uint64_t> m_tokensByVersion;
 };
 
-asio::awaitable<void>
-Sleep(core::Duration aDuration)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(aDuration);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 GenerateMessage
 ReadGenerate(kernel::SettingsReader& aReader)
 {
@@ -207,7 +199,7 @@
   absl::Status sent = co_await aExchange.StartStream(std::move(head));
   uint32_t offset = aMessage.m_resumeTokens;
   while (sent.ok() && offset < length) {
-    co_await Sleep(m_settings.m_chunkTime);
+    co_await kernel::SleepUntil(kernel::Now() + m_settings.m_chunkTime);
     if (incarnation != m_incarnation.load()) {
       // Begun and never ended: the connection is closed.
       co_return;
@@ -257,7 +249,7 @@
     co_await aExchange.Reply(std::move(answer));
     co_return;
   }
-  co_await Sleep(m_settings.m_loadTime);
+  co_await kernel::SleepUntil(kernel::Now() + m_settings.m_loadTime);
   m_version.store(std::max(m_version.load(), order->m_version));
   answer.m_body = "{}";
   co_await aExchange.Reply(std::move(answer));
--- a/src/standin/objectapi/objectapi.cpp
+++ b/src/standin/objectapi/objectapi.cpp
@@ -9,6 +9,7 @@
 
 #include "http/server.h"
 #include "kernel/json.h"
+#include "kernel/sleep.h"
 
 namespace heatherdeal::standin {
 
@@ -68,22 +69,10 @@
   return write;
 }
 
-asio::awaitable<void>
-WaitFor(core::Duration aDelay)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(aDelay);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<void>
 WakeAt(core::Instant aDeadline, std::shared_ptr<kernel::Reply<bool>> aReply)
 {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_at(kernel::ToSteady(aDeadline));
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_await kernel::SleepUntil(aDeadline);
   aReply->Set(false);
 }
 
@@ -101,7 +90,7 @@
     }
   }
   if (faults.m_delay.count() > 0) {
-    co_await WaitFor(faults.m_delay);
+    co_await kernel::SleepUntil(kernel::Now() + faults.m_delay);
   }
   if (!faults.m_down && faults.m_throttled == 0) {
     co_return false;
--- a/src/standin/trainer/trainer.cpp
+++ b/src/standin/trainer/trainer.cpp
@@ -7,6 +7,7 @@
 
 #include "kernel/json.h"
 #include "kernel/log.h"
+#include "kernel/sleep.h"
 #include "standin/trainer/batchjson.h"
 
 namespace heatherdeal::standin {
@@ -24,15 +25,6 @@
 constexpr core::Duration kStoreTime = std::chrono::seconds(1);
 constexpr core::Duration kPause = std::chrono::milliseconds(50);
 
-asio::awaitable<void>
-Sleep(core::Duration aDuration)
-{
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(aDuration);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 Trainer::Trainer(kernel::Context& aContext, TrainerSettings aSettings)
@@ -56,7 +48,7 @@
     if (taken) {
       co_await Train();
     } else {
-      co_await Sleep(kPause);
+      co_await kernel::SleepUntil(kernel::Now() + kPause);
     }
   }
   const std::scoped_lock lock(m_mutex);
@@ -167,7 +159,7 @@
 asio::awaitable<void>
 Trainer::Train()
 {
-  co_await Sleep(m_settings.m_trainTime);
+  co_await kernel::SleepUntil(kernel::Now() + m_settings.m_trainTime);
   m_trained += m_settings.m_trainTime;
   if (m_cursor.m_number % m_settings.m_batchesPerVersion == 0) {
     m_cursor.m_version.m_number += 1;
--- a/src/virtualworld/worldsettings.h
+++ b/src/virtualworld/worldsettings.h
@@ -47,4 +47,26 @@
   weights::WavePolicy m_wave;
 };
 
+/// A deployment so small that a minute of it runs in a moment.
+inline WorldSettings
+SmallWorld()
+{
+  using std::chrono::seconds;
+  WorldSettings settings;
+  settings.m_engines = 3;
+  settings.m_slotsPerEngine = 6;
+  settings.m_lengths.m_medianTokens = 80.0;
+  settings.m_chunkTokens = 16;
+  settings.m_trainTime = seconds(3);
+  settings.m_loadTime = seconds(1);
+  settings.m_pullWait = seconds(4);
+  settings.m_pullTime = seconds(6);
+  settings.m_shard.m_groupsPerBatch = 3;
+  settings.m_shard.m_samplesPerGroup = 2;
+  settings.m_shard.m_stalenessBound = 2;
+  settings.m_shard.m_progressTime = seconds(4);
+  settings.m_wave.m_orderTime = seconds(4);
+  return settings;
+}
+
 } // namespace heatherdeal::virtualworld
