Relay bench; the sleep coroutine apart from the fuzzers

It is an object library of its own that fuzzers do not link. The relay bench compares direct calls, a bare relay of ours and an entry host in one run.

--- a/cmake/heatherdeal.cmake
+++ b/cmake/heatherdeal.cmake
@@ -19,7 +19,7 @@
 # A binary: its main and the modules linked into it.
 function(heatherdeal_binary NAME MAIN)
   add_executable(${NAME} ${MAIN})
-  target_link_libraries(${NAME} PRIVATE hd_thirdparty hd_kernel)
+  target_link_libraries(${NAME} PRIVATE hd_thirdparty hd_kernel hd_sleep)
   foreach(module ${ARGN})
     target_link_libraries(${NAME} PRIVATE hd_${module})
   endforeach()
--- a/src/apps/bench.cpp
+++ b/src/apps/bench.cpp
@@ -5,6 +5,7 @@
 
 #include "bench/capacitybench.h"
 #include "bench/capacitytable.h"
+#include "bench/relaybench.h"
 #include "bench/rolloutbench.h"
 #include "bench/servebench.h"
 
@@ -16,7 +17,7 @@
 int
 PrintUsage()
 {
-  std::cout << "usage: heatherdeal-bench rollout | serve | capacity\n"
+  std::cout << "usage: heatherdeal-bench rollout | serve | relay | capacity\n"
                "       heatherdeal-bench tables POINTS\n"
                "       heatherdeal-bench check-page POINTS PAGE\n";
   return kUsage;
@@ -70,6 +71,10 @@
     std::cout << heatherdeal::bench::RunCapacityBench();
     return 0;
   }
+  if (what == "relay") {
+    std::cout << heatherdeal::bench::RunRelayBench();
+    return 0;
+  }
   if (what == "serve") {
     std::cout << heatherdeal::bench::RunServeBench();
     return 0;
--- a/src/kernel/internal/sleep.cpp
+++ b/src/kernel/internal/sleep.cpp
@@ -12,8 +12,10 @@
 boost::asio::awaitable<void>
 SleepUntil(core::Instant aInstant)
 {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
-                                  ToSteady(aInstant));
+  const boost::asio::any_io_executor executor =
+    co_await boost::asio::this_coro::executor;
+  boost::asio::steady_timer timer(executor);
+  timer.expires_at(ToSteady(aInstant));
   boost::system::error_code ignored;
   co_await timer.async_wait(
     boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
