--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -8,7 +8,7 @@
   forwarding/attempts.h forwarding/quarantine.h
   gossip/digest.h gossip/members.h
   lease/candidates.h lease/lease.h
-  platform/backoff.h platform/callbudget.h platform/object.h
+  objectstore/backoff.h objectstore/callbudget.h objectstore/object.h
   rollout/policy.h rollout/shard.h
   routing/choice.h routing/ejection.h
   weights/wave.h)
--- a/src/bench/relaybench.cpp
+++ b/src/bench/relaybench.cpp
@@ -147,7 +147,7 @@
   service.m_name.m_value = "desk";
   document.m_services = { service };
   router->SetDocument(document);
-  platform::HostEntry host;
+  objectstore::HostEntry host;
   host.m_name = "upstream";
   host.m_service = "desk";
   host.m_endpoint = aUpstream;
--- a/src/configuration/configurationmodule.cpp
+++ b/src/configuration/configurationmodule.cpp
@@ -3,7 +3,7 @@
 #include "configuration/documentjson.h"
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 
 namespace heatherdeal::configuration {
 
@@ -32,10 +32,10 @@
 {
   auto active = std::make_shared<Active>(aContext.Metrics());
   aContext.Provide(active);
-  aContext.Get<platform::ObjectStore>()->Watch(
+  aContext.Get<objectstore::ObjectStore>()->Watch(
     std::string(kObjectKind),
-    [active](std::span<const platform::StoredObject> aObjects) {
-      for (const platform::StoredObject& object : aObjects) {
+    [active](std::span<const objectstore::StoredObject> aObjects) {
+      for (const objectstore::StoredObject& object : aObjects) {
         if (object.m_key.m_name == kObjectName) {
           active->Offer(object.m_value);
         }
@@ -58,7 +58,7 @@
 }
 
 constexpr std::string_view kNeeds[] = { http::kModuleName,
-                                        platform::kModuleName };
+                                        objectstore::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
--- a/src/configuration/decisions/document.cpp
+++ b/src/configuration/decisions/document.cpp
@@ -58,8 +58,65 @@
   }
 }
 
+void
+CheckRoute(const Document& aDocument, size_t aIndex, Errors& aErrors)
+{
+  const Route& route = aDocument.m_routes[aIndex];
+  const std::string path = "$.routes[" + std::to_string(aIndex) + "].";
+  const bool framed =
+    route.m_prefix.starts_with('/') && route.m_prefix.ends_with('/');
+  if (!framed) {
+    aErrors.push_back(
+      { path + "prefix", route.m_prefix, "a slash at both ends" });
+  }
+  if (route.m_services.empty()) {
+    aErrors.push_back({ path + "services", "[]", "at least one service" });
+  }
+  for (const WeightedService& target : route.m_services) {
+    if (FindService(aDocument, target.m_service) == nullptr) {
+      aErrors.push_back({ path + "services",
+                          target.m_service.m_value,
+                          "the name of a service" });
+    }
+  }
+}
+
 } // namespace
 
+const Route*
+FindRoute(const Document& aDocument,
+          std::string_view aHost,
+          std::string_view aPath)
+{
+  const Route* best = nullptr;
+  for (const Route& route : aDocument.m_routes) {
+    const bool matches =
+      route.m_host == aHost && aPath.starts_with(route.m_prefix);
+    if (matches &&
+        (best == nullptr || route.m_prefix.size() > best->m_prefix.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+const core::ServiceId&
+ServiceFor(const Route& aRoute, uint64_t aTicket)
+{
+  uint64_t total = 0;
+  for (const WeightedService& target : aRoute.m_services) {
+    total += target.m_weight;
+  }
+  uint64_t left = total == 0 ? 0 : aTicket % total;
+  for (const WeightedService& target : aRoute.m_services) {
+    if (left < target.m_weight) {
+      return target.m_service;
+    }
+    left -= target.m_weight;
+  }
+  return aRoute.m_services.front().m_service;
+}
+
 const Service*
 FindService(const Document& aDocument, const core::ServiceId& aName)
 {
@@ -76,6 +133,9 @@
   for (size_t i = 0; i < aDocument.m_jobs.size(); ++i) {
     CheckJob(aDocument, i, errors);
   }
+  for (size_t i = 0; i < aDocument.m_routes.size(); ++i) {
+    CheckRoute(aDocument, i, errors);
+  }
   return errors;
 }
 
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -86,14 +87,92 @@
   rollout::ShardPolicy m_policy;
 };
 
+/// May run any number of times.
+struct SafeRequests
+{};
+
+/// May run at most once for each time that a caller sends it.
+struct UnsafeRequests
+{};
+
+/// Answered by a series of events.
+struct StreamRequests
+{
+  /// Another upstream can go on behind the last event.
+  bool m_resumable = false;
+};
+
+/// Accepts batches of generation requests that run later.
+struct BatchSubmissions
+{
+  /// An item may be given up so long after its batch was accepted.
+  core::Duration m_giveUpAfter = std::chrono::seconds(40);
+  /// All results are wanted so long after the batch was accepted.
+  core::Duration m_resultTarget = std::chrono::seconds(8);
+  /// Every text has to come from one weight version.
+  bool m_singleVersion = false;
+};
+
+/// What the requests of a route are, and so what may be repeated.
+using RequestKind = std::
+  variant<SafeRequests, UnsafeRequests, StreamRequests, BatchSubmissions>;
+
+/// A service that takes a share of a route's requests.
+struct WeightedService
+{
+  core::ServiceId m_service;
+  uint32_t m_weight = 1;
+};
+
+/// Requests of a virtual host whose path begins with a prefix.
+struct Route
+{
+  std::string m_name;
+  std::string m_host;
+  /// Begins and ends with a slash.
+  std::string m_prefix;
+  RequestKind m_kind = SafeRequests{};
+  /// The longest that a caller is kept waiting.
+  core::Duration m_timeout = std::chrono::seconds(30);
+  /// An answer within this time is worth most.
+  core::Duration m_objective = std::chrono::seconds(1);
+  /// Upstreams that one request may be sent to.
+  uint32_t m_attempts = 1;
+  /// 0 is the most urgent.
+  uint32_t m_priority = 0;
+  std::vector<WeightedService> m_services;
+};
+
+/// Bounds on what callers send, and on how long they take or stay idle.
+struct CallerLimits
+{
+  uint32_t m_headerBytes = 16 * 1024;
+  uint64_t m_bodyBytes = 32 * 1024 * 1024;
+  core::Duration m_headerTime = std::chrono::seconds(10);
+  core::Duration m_idleTime = std::chrono::seconds(60);
+};
+
 /// One whole configuration. A later one has a higher generation.
 struct Document
 {
   uint64_t m_generation = 0;
   std::vector<Service> m_services;
   std::vector<Job> m_jobs;
+  std::vector<Route> m_routes;
+  CallerLimits m_limits;
 };
 
+/// The route of a request: of those of the host, the one with the longest
+/// prefix that begins the path. Null if none does.
+const Route*
+FindRoute(const Document& aDocument,
+          std::string_view aHost,
+          std::string_view aPath);
+
+/// The service that a request goes to; aTicket spreads requests by weight.
+const core::ServiceId&
+ServiceFor(const Route& aRoute, uint64_t aTicket);
+
 const Service*
 FindService(const Document& aDocument, const core::ServiceId& aName);
 
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -4,6 +4,7 @@
 #include "xxhash.h"
 
 #include "configuration/internal/jobjson.h"
+#include "configuration/internal/routejson.h"
 #include "core/overloaded.h"
 #include "kernel/json.h"
 
@@ -137,6 +138,14 @@
     "jobs", [&](const boost::json::value& aValue, std::string_view aPath) {
       document.m_jobs.push_back(element(aValue, aPath, ParseJob));
     });
+  aReader.ForEach(
+    "routes", [&](const boost::json::value& aValue, std::string_view aPath) {
+      document.m_routes.push_back(element(aValue, aPath, ParseRoute));
+    });
+  if (const boost::json::value* limits = aReader.Optional("limits")) {
+    document.m_limits =
+      element(*limits, aReader.PathOf("limits"), ParseLimits);
+  }
   return document;
 }
 
@@ -176,9 +185,15 @@
   for (const Job& job : aDocument.m_jobs) {
     jobs.push_back(ToObject(job));
   }
+  boost::json::array routes;
+  for (const Route& route : aDocument.m_routes) {
+    routes.push_back(ToObject(route));
+  }
   const boost::json::value value{ { "generation", aDocument.m_generation },
                                   { "services", std::move(services) },
-                                  { "jobs", std::move(jobs) } };
+                                  { "jobs", std::move(jobs) },
+                                  { "routes", std::move(routes) },
+                                  { "limits", ToObject(aDocument.m_limits) } };
   return boost::json::serialize(value);
 }
 
--- a/src/discovery/discoverymodule.cpp
+++ b/src/discovery/discoverymodule.cpp
@@ -10,7 +10,7 @@
 #include "kernel/deadlinetimer.h"
 #include "kernel/json.h"
 #include "kernel/plugin.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 
 namespace heatherdeal::discovery {
 
@@ -33,7 +33,7 @@
 {
   DiscoverySettings m_settings;
   std::string m_host;
-  std::shared_ptr<platform::Hosts> m_hosts;
+  std::shared_ptr<objectstore::Hosts> m_hosts;
   std::shared_ptr<gossip::Gossip> m_gossip;
   std::atomic<uint64_t> m_ticket{ 0 };
   std::atomic<bool> m_leaving{ false };
@@ -59,7 +59,7 @@
 {
   std::vector<Candidate> candidates;
   const auto hosts = aDiscovery.m_hosts->Read();
-  for (const platform::HostEntry& host : *hosts) {
+  for (const objectstore::HostEntry& host : *hosts) {
     if (host.m_service != aRole) {
       continue;
     }
@@ -118,7 +118,7 @@
   auto discovery = std::make_shared<Discovery>();
   discovery->m_settings = std::any_cast<const DiscoverySettings&>(aSettings);
   discovery->m_host = aContext.Self().m_host;
-  discovery->m_hosts = aContext.Get<platform::Hosts>();
+  discovery->m_hosts = aContext.Get<objectstore::Hosts>();
   discovery->m_gossip = aContext.Get<gossip::Gossip>();
   aContext.Provide(discovery);
   aContext.Get<http::Server>()->AddRoute(
@@ -154,7 +154,7 @@
 
 constexpr std::string_view kNeeds[] = { gossip::kModuleName,
                                         http::kModuleName,
-                                        platform::kModuleName };
+                                        objectstore::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -3,7 +3,7 @@
 #include "forwarding/internal/forwarder.h"
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 #include "routing/routingmodule.h"
 
 namespace heatherdeal::forwarding {
@@ -31,7 +31,7 @@
 }
 
 constexpr std::string_view kNeeds[] = { http::kModuleName,
-                                        platform::kModuleName,
+                                        objectstore::kModuleName,
                                         routing::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
--- a/src/forwarding/internal/submissions.cpp
+++ b/src/forwarding/internal/submissions.cpp
@@ -5,7 +5,7 @@
 
 #include "core/failure.h"
 #include "kernel/reply.h"
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 namespace heatherdeal::forwarding {
 
@@ -18,7 +18,7 @@
 
 using Reply = kernel::Reply<absl::Status>;
 
-platform::ObjectKey
+objectstore::ObjectKey
 KeyOf(std::string_view aName)
 {
   return { std::string(kKind), std::string(aName) };
@@ -39,14 +39,14 @@
 
 /// Takes over a record that says that its call was not run. Control thread.
 void
-ClaimAgain(std::shared_ptr<platform::ObjectStore> aStore,
+ClaimAgain(std::shared_ptr<objectstore::ObjectStore> aStore,
            std::string aName,
            std::shared_ptr<Reply> aReply)
 {
   aStore->Read(
     KeyOf(aName),
-    platform::CallPriority::Status,
-    [aStore, aName, aReply](absl::StatusOr<platform::StoredObject> aFound) {
+    objectstore::CallPriority::Status,
+    [aStore, aName, aReply](absl::StatusOr<objectstore::StoredObject> aFound) {
       if (!aFound.ok()) {
         aReply->Set(Unavailable(aName));
         return;
@@ -58,7 +58,7 @@
       aStore->Write(KeyOf(aName),
                     aFound->m_version,
                     std::string(kBegun),
-                    platform::CallPriority::Status,
+                    objectstore::CallPriority::Status,
                     [aName, aReply](absl::StatusOr<uint64_t> aVersion) {
                       aReply->Set(aVersion.ok() ? absl::OkStatus()
                                                 : Submitted(aName));
@@ -67,14 +67,14 @@
 }
 
 void
-ClaimFirst(std::shared_ptr<platform::ObjectStore> aStore,
+ClaimFirst(std::shared_ptr<objectstore::ObjectStore> aStore,
            std::string aName,
            std::shared_ptr<Reply> aReply)
 {
   aStore->Write(KeyOf(aName),
                 0,
                 std::string(kBegun),
-                platform::CallPriority::Status,
+                objectstore::CallPriority::Status,
                 [aStore, aName, aReply](absl::StatusOr<uint64_t> aVersion) {
                   if (aVersion.ok()) {
                     aReply->Set(absl::OkStatus());
@@ -101,7 +101,7 @@
 ClaimSubmission(kernel::Context& aContext, size_t aLoopIndex, std::string aName)
 {
   auto reply = std::make_shared<Reply>(aContext.Traffic().Loop(aLoopIndex));
-  auto store = aContext.Get<platform::ObjectStore>();
+  auto store = aContext.Get<objectstore::ObjectStore>();
   aContext.Control().Post(
     [store, aName, reply] { ClaimFirst(store, aName, reply); });
   co_return co_await reply->Wait();
@@ -110,16 +110,16 @@
 void
 ReleaseSubmission(kernel::Context& aContext, std::string aName)
 {
-  auto store = aContext.Get<platform::ObjectStore>();
+  auto store = aContext.Get<objectstore::ObjectStore>();
   aContext.Control().Post([store, aName] {
     store->Read(KeyOf(aName),
-                platform::CallPriority::Status,
-                [store, aName](absl::StatusOr<platform::StoredObject> aFound) {
+                objectstore::CallPriority::Status,
+                [store, aName](absl::StatusOr<objectstore::StoredObject> aFound) {
                   if (aFound.ok() && aFound->m_value == kBegun) {
                     store->Write(KeyOf(aName),
                                  aFound->m_version,
                                  std::string(kNotRun),
-                                 platform::CallPriority::Status,
+                                 objectstore::CallPriority::Status,
                                  [](absl::StatusOr<uint64_t>) {});
                   }
                 });
--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -4,7 +4,7 @@
 
 #include "forwarding/internal/forwarder.h"
 #include "http/tests/loopback.h"
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 #include "standin/objectapi/objectapi.h"
 
 namespace heatherdeal::forwarding {
@@ -69,11 +69,11 @@
   explicit Entry(const Platform& aPlatform)
   {
     kernel::Context& context = m_loopback.Kernel();
-    platform::ObjectStoreSettings settings;
+    objectstore::ObjectStoreSettings settings;
     settings.m_endpoints = { aPlatform.m_loopback.Self() };
     settings.m_callTime = milliseconds(500);
     settings.m_budget = { 1000.0, 1000.0 };
-    context.Provide(std::make_shared<platform::ObjectStore>(context, settings));
+    context.Provide(std::make_shared<objectstore::ObjectStore>(context, settings));
     m_router = std::make_shared<routing::Router>("d0");
     context.Provide(m_router);
     configuration::Document document;
@@ -97,9 +97,9 @@
                     bool aLeaving = false,
                     std::string_view aService = "desk")
   {
-    std::vector<platform::HostEntry> hosts;
+    std::vector<objectstore::HostEntry> hosts;
     for (const core::Endpoint& upstream : aUpstreams) {
-      platform::HostEntry host;
+      objectstore::HostEntry host;
       host.m_name = http::ToText(upstream);
       host.m_service = aService;
       host.m_endpoint = upstream;
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -12,7 +12,7 @@
 #include "kernel/context.h"
 #include "kernel/deadlinetimer.h"
 #include "kernel/published.h"
-#include "platform/hosts.h"
+#include "objectstore/hosts.h"
 #include "protocol/frame.h"
 
 namespace heatherdeal::gossip {
@@ -43,6 +43,11 @@
   void SubscribeVersions(VersionListener aListener);
   /// True if the host itself has said that it leaves; any thread.
   bool IsLeaving(std::string_view aHost) const;
+  /// True for this host and for those heard of lately that do not leave; any
+  /// thread.
+  bool IsAlive(std::string_view aHost) const;
+  /// The same, whether it leaves or not.
+  bool IsHeard(std::string_view aHost) const;
 
   const GossipState& State() const { return m_state; }
 
@@ -59,7 +64,8 @@
   void Run(const FetchDocument& aEffect);
   void Run(const VersionHeard& aEffect);
   void Run(const LeavingHeard& aEffect);
-  void SetHosts(std::span<const platform::HostEntry> aHosts);
+  void SetHosts(std::span<const objectstore::HostEntry> aHosts);
+  void PublishHeard();
   void Receive();
   void Accept(std::span<const std::byte> aFrame);
 
@@ -73,6 +79,8 @@
   std::map<std::string, Peer> m_peers;
   std::vector<VersionListener> m_listeners;
   kernel::Published<NameSet> m_leaving;
+  /// Other hosts by whether they have been heard of lately.
+  kernel::Published<NameSet> m_heard;
   /// Generation that is being fetched, so that it is fetched once.
   uint64_t m_fetching = 0;
 };
--- a/src/gossip/gossipmodule.cpp
+++ b/src/gossip/gossipmodule.cpp
@@ -3,7 +3,7 @@
 #include "configuration/configurationmodule.h"
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 
 namespace heatherdeal::gossip {
 
@@ -87,7 +87,7 @@
 
 constexpr std::string_view kNeeds[] = { configuration::kModuleName,
                                         http::kModuleName,
-                                        platform::kModuleName };
+                                        objectstore::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -6,6 +6,7 @@
 
 #include "gossip/internal/digestcodec.h"
 #include "http/client.h"
+#include "kernel/eventlog.h"
 
 namespace heatherdeal::gossip {
 
@@ -53,7 +54,11 @@
 {
   m_state.m_policy = m_settings.m_policy;
   m_state.m_self.m_host = aContext.Self().m_host;
-  m_state.m_self.m_incarnation = 1;
+  const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+  // Higher than in earlier lives of this host, so that its news is taken at
+  // once; gossip corrects it where clocks went back.
+  m_state.m_self.m_incarnation = static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count());
   m_state.m_random.seed(std::hash<std::string>()(aContext.Self().m_host));
 }
 
@@ -83,8 +88,8 @@
       http::ToText(m_settings.m_listen) + " " + error.message(),
       core::Executed::No });
   }
-  m_context.Get<platform::Hosts>()->Subscribe(
-    [self](std::span<const platform::HostEntry> aHosts) {
+  m_context.Get<objectstore::Hosts>()->Subscribe(
+    [self](std::span<const objectstore::HostEntry> aHosts) {
       self->SetHosts(aHosts);
     });
   Receive();
@@ -118,12 +123,61 @@
   return found != leaving->end() && found->second;
 }
 
+bool
+Gossip::IsAlive(std::string_view aHost) const
+{
+  if (aHost == m_context.Self().m_host) {
+    return !m_context.Stopping().IsRequested();
+  }
+  return IsHeard(aHost) && !IsLeaving(aHost);
+}
+
+bool
+Gossip::IsHeard(std::string_view aHost) const
+{
+  if (aHost == m_context.Self().m_host) {
+    return true;
+  }
+  const auto heard = m_heard.Read();
+  const auto found = heard->find(aHost);
+  return found != heard->end() && found->second;
+}
+
+void
+Gossip::PublishHeard()
+{
+  NameSet heard;
+  const core::Instant now = kernel::Now();
+  for (const auto& [name, member] : m_state.m_members) {
+    heard[name] = !IsSuspect(m_state, name, now);
+  }
+  const auto known = m_heard.Read();
+  if (*known == heard) {
+    return;
+  }
+  for (const auto& [name, isHeard] : heard) {
+    const auto before = known->find(name);
+    const bool wasHeard = before != known->end() && before->second;
+    if (wasHeard != isHeard) {
+      const Member& member = m_state.m_members.at(name);
+      kernel::LogEvent(
+        kernel::LogLevel::Info,
+        "gossip",
+        isHeard ? "host-heard" : "host-lost",
+        { { "host", name },
+          { "leaving", member.m_news.m_leaving },
+          { "heard_ms_ago", kernel::Milliseconds(now - member.m_heardAt) } });
+    }
+  }
+  m_heard.Publish(std::move(heard));
+}
+
 void
-Gossip::SetHosts(std::span<const platform::HostEntry> aHosts)
+Gossip::SetHosts(std::span<const objectstore::HostEntry> aHosts)
 {
   PeersListed listed;
   m_peers.clear();
-  for (const platform::HostEntry& host : aHosts) {
+  for (const objectstore::HostEntry& host : aHosts) {
     if (host.m_gossipPort == 0) {
       continue;
     }
@@ -148,6 +202,7 @@
   for (const GossipEffect& effect : effects) {
     std::visit([this](const auto& aTyped) { Run(aTyped); }, effect);
   }
+  PublishHeard();
   if (m_settings.m_enabled) {
     m_timer.Set(std::max(NextDeadline(m_state), kernel::Now()));
   }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,6 +11,7 @@
 
 #include "core/ids.h"
 #include "core/instant.h"
+#include "http/callabort.h"
 #include "http/message.h"
 #include "kernel/context.h"
 
@@ -23,7 +24,9 @@
 class AnswerStream
 {
 public:
-  AnswerStream(std::unique_ptr<PooledConnection> aConnection, AnswerHead aHead);
+  AnswerStream(std::unique_ptr<PooledConnection> aConnection,
+               AnswerHead aHead,
+               std::shared_ptr<CallAbort> aAbort);
   ~AnswerStream();
   AnswerStream(const AnswerStream&) = delete;
   AnswerStream& operator=(const AnswerStream&) = delete;
@@ -31,6 +34,8 @@
   const AnswerHead& Head() const { return m_head; }
   /// True once the end mark has arrived.
   bool HasEnded() const;
+  /// Closes the connection: the answer is not the one that was asked for.
+  void Abandon();
 
   /// The next part, or "" after the end mark. The view lasts until the next
   /// call. TruncatedAnswer or DeadlineExceeded otherwise.
@@ -41,6 +46,8 @@
   std::unique_ptr<PooledConnection> m_connection;
   AnswerHead m_head;
   std::string m_part;
+  bool m_abandoned = false;
+  std::shared_ptr<CallAbort> m_abort;
 };
 
 /// Which connection a call may use.
@@ -65,7 +72,8 @@
     core::Endpoint aPeer,
     Request aRequest,
     Reuse aReuse,
-    core::Instant aDeadline);
+    core::Instant aDeadline,
+    std::shared_ptr<CallAbort> aAbort = nullptr);
 
   /// The same, and reads the whole answer.
   boost::asio::awaitable<absl::StatusOr<Answer>> Call(core::Endpoint aPeer,
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -44,6 +44,10 @@
   /// Sends the end mark.
   boost::asio::awaitable<absl::Status> Finish();
 
+  /// Calls aOnGone once on the loop if the caller closes its connection
+  /// before the answer has been sent.
+  void WatchCaller(std::function<void()> aOnGone);
+
 private:
   Connection& m_connection;
   Request m_request;
@@ -67,4 +71,8 @@
 core::Failure
 FailureOf(const absl::Status& aStatus);
 
+/// The failure's kind and fields in one line.
+std::string
+DescribeStatus(const absl::Status& aStatus);
+
 } // namespace heatherdeal::http
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,5 +1,9 @@
 #include "http/client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/redirect_error.hpp"
 #include "boost/asio/use_awaitable.hpp"
@@ -23,6 +27,11 @@
 constexpr core::Duration kConnectTime = std::chrono::seconds(1);
 constexpr uint64_t kMaxAnswerBytes = 256ULL * 1024 * 1024;
 constexpr size_t kPartBytes = 16 * 1024;
+// A peer that vanished without a reset is noticed after about three seconds.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr unsigned kUnacknowledgedMilliseconds = 3000;
 
 auto
 Redirect(boost::system::error_code& aError)
@@ -49,6 +58,36 @@
     core::ConnectionFailed{ ToText(aPeer), core::Executed::Unknown });
 }
 
+/// Lets the kernel end a connection whose peer has vanished.
+void
+DetectDeadPeer(asio::ip::tcp::socket& aSocket)
+{
+  using asio::detail::socket_option::integer;
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(
+    integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds), ignored);
+  aSocket.set_option(
+    integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalSeconds), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
+                     ignored);
+  aSocket.set_option(
+    integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnacknowledgedMilliseconds),
+    ignored);
+}
+
+/// False if the peer has closed the connection or sent what nobody asked for.
+bool
+IsQuiet(PooledConnection& aConnection)
+{
+  char byte = 0;
+  const ssize_t got = ::recv(aConnection.m_stream.socket().native_handle(),
+                             &byte,
+                             1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 asio::awaitable<absl::Status>
 Connect(PooledConnection& aConnection, core::Instant aDeadline)
 {
@@ -67,6 +106,7 @@
   }
   aConnection.m_stream.socket().set_option(asio::ip::tcp::no_delay(true),
                                            error);
+  DetectDeadPeer(aConnection.m_stream.socket());
   co_return absl::OkStatus();
 }
 
@@ -79,13 +119,36 @@
   message.target(aRequest.m_target);
   message.set(beast::http::field::host, ToText(aPeer));
   for (const Header& header : aRequest.m_headers) {
-    message.set(header.m_name, header.m_value);
+    if (beast::iequals(header.m_name, "Host")) {
+      message.set(header.m_name, header.m_value);
+    } else {
+      message.insert(header.m_name, header.m_value);
+    }
   }
   message.body() = aRequest.m_body;
   message.prepare_payload();
   return message;
 }
 
+/// How long the peer keeps the connection open when idle, less a margin for
+/// what is under way; nothing if it does not say.
+std::optional<core::Duration>
+IdleTimeOf(const beast::http::response_header<>& aHeader)
+{
+  constexpr std::string_view kName = "timeout=";
+  const auto field = aHeader["Keep-Alive"];
+  const std::string_view value(field.data(), field.size());
+  const size_t begin = value.find(kName);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string digits(value.substr(begin + kName.size()));
+  const core::Duration offered =
+    std::chrono::seconds(std::strtol(digits.c_str(), nullptr, 10));
+  const core::Duration margin = std::chrono::milliseconds(500);
+  return std::max(core::Duration::zero(), offered - margin);
+}
+
 AnswerHead
 ToHead(const beast::http::response_header<>& aHeader)
 {
@@ -134,20 +197,33 @@
 }
 
 AnswerStream::AnswerStream(std::unique_ptr<PooledConnection> aConnection,
-                           AnswerHead aHead)
+                           AnswerHead aHead,
+                           std::shared_ptr<CallAbort> aAbort)
   : m_connection(std::move(aConnection))
   , m_head(std::move(aHead))
+  , m_abort(std::move(aAbort))
 {
 }
 
 AnswerStream::~AnswerStream()
 {
-  if (HasEnded() && m_connection->m_parser->keep_alive()) {
+  if (m_abort) {
+    m_abort->Attach(nullptr);
+  }
+  if (!m_abandoned && HasEnded() && m_connection->m_parser->keep_alive() &&
+      m_connection->m_buffer.size() == 0) {
     Client& client = m_connection->m_client;
     client.GiveBack(std::move(m_connection));
   }
 }
 
+void
+AnswerStream::Abandon()
+{
+  m_connection->m_stream.close();
+  m_abandoned = true;
+}
+
 bool
 AnswerStream::HasEnded() const
 {
@@ -206,7 +282,7 @@
   while (!idle.empty()) {
     std::unique_ptr<PooledConnection> connection = std::move(idle.back());
     idle.pop_back();
-    if (connection->m_idleUntil > kernel::Now()) {
+    if (connection->m_idleUntil > kernel::Now() && IsQuiet(*connection)) {
       return connection;
     }
   }
@@ -217,39 +293,78 @@
 Client::GiveBack(std::unique_ptr<PooledConnection> aConnection)
 {
   auto& idle = m_idle[aConnection->m_peer];
-  if (idle.size() >= kIdlePerPeer) {
+  const std::optional<core::Duration> offered =
+    IdleTimeOf(aConnection->m_parser->get());
+  if (idle.size() >= kIdlePerPeer || offered == core::Duration::zero()) {
     return;
   }
   aConnection->m_parser.reset();
   aConnection->m_stream.expires_never();
-  aConnection->m_idleUntil = kernel::Now() + kIdleTime;
+  aConnection->m_idleUntil = kernel::Now() + offered.value_or(kIdleTime);
   idle.push_back(std::move(aConnection));
 }
 
+namespace {
+
+/// Attaches a connection to what may abort its call.
+class AbortScope
+{
+public:
+  AbortScope(CallAbort* aAbort, PooledConnection& aConnection)
+    : m_abort(aAbort)
+  {
+    if (m_abort != nullptr) {
+      m_abort->Attach(&aConnection.m_stream);
+    }
+  }
+  ~AbortScope()
+  {
+    if (m_abort != nullptr) {
+      m_abort->Attach(nullptr);
+    }
+  }
+  AbortScope(const AbortScope&) = delete;
+  AbortScope& operator=(const AbortScope&) = delete;
+
+  /// The answer's stream takes over.
+  void Release() { m_abort = nullptr; }
+
+private:
+  CallAbort* m_abort;
+};
+
+} // namespace
+
 asio::awaitable<absl::StatusOr<std::unique_ptr<AnswerStream>>>
 Client::Open(core::Endpoint aPeer,
              Request aRequest,
              Reuse aReuse,
-             core::Instant aDeadline)
+             core::Instant aDeadline,
+             std::shared_ptr<CallAbort> aAbort)
 {
-  if (aReuse == Reuse::Allowed) {
-    std::unique_ptr<PooledConnection> idle = TakeIdle(aPeer);
-    if (idle) {
-      absl::StatusOr<AnswerHead> head =
-        co_await SendAndReadHead(*idle, aRequest, aDeadline);
-      if (head.ok()) {
-        co_return std::make_unique<AnswerStream>(std::move(idle),
-                                                 *std::move(head));
-      }
-      if (absl::IsDeadlineExceeded(head.status())) {
-        co_return head.status();
-      }
-      // The peer may have closed an idle connection; a new one decides.
-      m_context.Metrics().Get("http.idle_connection_dead").Add();
+  std::unique_ptr<PooledConnection> idle =
+    aReuse == Reuse::Allowed ? TakeIdle(aPeer) : nullptr;
+  if (idle) {
+    AbortScope scope(aAbort.get(), *idle);
+    absl::StatusOr<AnswerHead> head =
+      co_await SendAndReadHead(*idle, aRequest, aDeadline);
+    if (head.ok()) {
+      scope.Release();
+      co_return std::make_unique<AnswerStream>(
+        std::move(idle), *std::move(head), aAbort);
     }
+    if (absl::IsDeadlineExceeded(head.status())) {
+      co_return head.status();
+    }
+    // The peer may have closed an idle connection; a new one decides.
+    m_context.Metrics().Get("http.idle_connection_dead").Add();
+  }
+  if (aAbort && aAbort->IsRequested()) {
+    co_return FailedBeforeSending(aPeer);
   }
   auto connection = std::make_unique<PooledConnection>(
     *this, m_context.Traffic().Loop(m_loopIndex), aPeer);
+  AbortScope scope(aAbort.get(), *connection);
   const absl::Status connected = co_await Connect(*connection, aDeadline);
   if (!connected.ok()) {
     co_return connected;
@@ -259,8 +374,9 @@
   if (!head.ok()) {
     co_return head.status();
   }
-  co_return std::make_unique<AnswerStream>(std::move(connection),
-                                           *std::move(head));
+  scope.Release();
+  co_return std::make_unique<AnswerStream>(
+    std::move(connection), *std::move(head), aAbort);
 }
 
 asio::awaitable<absl::StatusOr<Answer>>
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/connection.h"
 
+#include <sys/socket.h>
+
 #include "boost/asio/redirect_error.hpp"
 #include "boost/asio/use_awaitable.hpp"
 #include "boost/beast/http/parser.hpp"
@@ -93,6 +95,9 @@
 
 Connection::~Connection()
 {
+  if (m_watch) {
+    m_watch->m_active = false;
+  }
   m_server->OpenConnections().fetch_sub(1);
 }
 
@@ -102,6 +107,31 @@
   return m_server->Kernel().Stopping().IsRequested();
 }
 
+void
+Connection::WatchPeer(std::function<void()> aOnGone)
+{
+  m_watch = std::make_shared<PeerWatch>();
+  m_watch->m_onGone = std::move(aOnGone);
+  m_stream.socket().async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [watch = m_watch, this](boost::system::error_code aError) {
+      if (!watch->m_active || aError) {
+        return;
+      }
+      char byte = 0;
+      const ssize_t got = ::recv(m_stream.socket().native_handle(),
+                                 &byte,
+                                 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+      // Bytes of a next request may wait; only an end tells that it left.
+      const bool open = got > 0 || (got < 0 && errno == EAGAIN);
+      if (!open) {
+        watch->m_active = false;
+        watch->m_onGone();
+      }
+    });
+}
+
 asio::awaitable<void>
 Connection::Run()
 {
@@ -155,6 +185,10 @@
   Exchange exchange(*this, ToRequest(parser.release()), m_loopIndex, keepAlive);
   m_stream.expires_never();
   co_await Handle(exchange);
+  if (m_watch) {
+    m_watch->m_active = false;
+    m_watch.reset();
+  }
   co_return exchange.HasEnded() && exchange.KeepAlive();
 }
 
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "boost/asio/awaitable.hpp"
@@ -27,7 +28,16 @@
   const ServerSettings& Settings() const { return m_server->Settings(); }
   bool IsDraining() const;
 
+  /// Calls aOnGone once if the peer closes while a request is handled.
+  void WatchPeer(std::function<void()> aOnGone);
+
 private:
+  struct PeerWatch
+  {
+    std::function<void()> m_onGone;
+    bool m_active = true;
+  };
+
   /// False if the connection has to be closed.
   boost::asio::awaitable<bool> ServeOne();
   boost::asio::awaitable<void> Refuse(core::Failure aFailure, uint32_t aStatus);
@@ -37,6 +47,7 @@
   boost::beast::tcp_stream m_stream;
   boost::beast::flat_buffer m_buffer;
   size_t m_loopIndex;
+  std::shared_ptr<PeerWatch> m_watch;
 };
 
 } // namespace heatherdeal::http
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -136,6 +136,12 @@
   co_return WriteStatus(error);
 }
 
+void
+Exchange::WatchCaller(std::function<void()> aOnGone)
+{
+  m_connection.WatchPeer(std::move(aOnGone));
+}
+
 uint32_t
 StatusOf(const core::Failure& aFailure)
 {
@@ -200,4 +206,10 @@
   return core::PeerRefused{ std::string(aStatus.message()), 0, {} };
 }
 
+std::string
+DescribeStatus(const absl::Status& aStatus)
+{
+  return core::Describe(FailureOf(aStatus));
+}
+
 } // namespace heatherdeal::http
--- a/src/kernel/controlthread.h
+++ b/src/kernel/controlthread.h
@@ -11,7 +11,7 @@
 
 namespace heatherdeal::kernel {
 
-/// The process's monotonic time. Decisions never call it.
+/// The process's monotonic time, suspensions included. Decisions never call it.
 core::Instant
 Now();
 
--- a/src/kernel/internal/controlthread.cpp
+++ b/src/kernel/internal/controlthread.cpp
@@ -1,20 +1,28 @@
 #include "kernel/controlthread.h"
 
+#include <ctime>
+
 namespace heatherdeal::kernel {
 
 core::Instant
 Now()
 {
-  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return core::Instant(std::chrono::duration_cast<core::Duration>(sinceStart));
+  // Unlike the steady clock, the boot clock counts the time that a machine
+  // was suspended: leases have to end meanwhile.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto sinceBoot =
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return core::Instant(std::chrono::duration_cast<core::Duration>(sinceBoot));
 }
 
 std::chrono::steady_clock::time_point
 ToSteady(core::Instant aInstant)
 {
-  return std::chrono::steady_clock::time_point(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      aInstant.time_since_epoch()));
+  if (aInstant == core::Instant::max()) {
+    return std::chrono::steady_clock::time_point::max();
+  }
+  return std::chrono::steady_clock::now() + (aInstant - Now());
 }
 
 ControlThread::ControlThread()
--- a/src/kernel/internal/log.cpp
+++ b/src/kernel/internal/log.cpp
@@ -1,27 +1,58 @@
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
 
+#include <chrono>
+#include <memory>
 #include <string>
 
+#include "boost/json/object.hpp"
+#include "boost/json/serialize.hpp"
 #include "easylogging++.h"
 
+#include "kernel/internal/logwriter.h"
+
 namespace heatherdeal::kernel {
 
 namespace {
 
-el::Level
-ToLibraryLevel(LogLevel aLevel)
+struct LogState
 {
-  switch (aLevel) {
-    case LogLevel::Debug:
-      return el::Level::Debug;
-    case LogLevel::Info:
-      return el::Level::Info;
-    case LogLevel::Warning:
-      return el::Level::Warning;
-    case LogLevel::Error:
-      break;
-  }
-  return el::Level::Error;
+  std::string m_process;
+  LogLevel m_least = LogLevel::Info;
+  std::unique_ptr<LogWriter> m_writer;
+};
+
+LogState&
+State()
+{
+  static LogState state;
+  return state;
+}
+
+std::string_view
+ToText(LogLevel aLevel)
+{
+  constexpr std::string_view kNames[] = { "debug", "info", "warning", "error" };
+  return kNames[static_cast<size_t>(aLevel)];
+}
+
+boost::json::string_view
+View(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+boost::json::value
+ToJson(const LogValue& aValue)
+{
+  return std::visit(
+    [](const auto& aTyped) { return boost::json::value(aTyped); }, aValue);
+}
+
+int64_t
+WallMilliseconds()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
 } // namespace
@@ -33,40 +64,50 @@
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-  configuration.setGlobally(el::ConfigurationType::Format,
-                            "%datetime{%Y-%M-%dT%H:%m:%s.%g} " +
-                              std::string(aProcess) + " %level %msg");
-  for (const LogLevel level : { LogLevel::Debug,
-                                LogLevel::Info,
-                                LogLevel::Warning,
-                                LogLevel::Error }) {
-    if (level < aLeast) {
-      configuration.set(
-        ToLibraryLevel(level), el::ConfigurationType::Enabled, "false");
-    }
-  }
+  configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   el::Loggers::reconfigureAllLoggers(configuration);
+  LogState& state = State();
+  state.m_process = aProcess;
+  state.m_least = aLeast;
+  state.m_writer = std::make_unique<LogWriter>();
 }
 
 void
-Log(LogLevel aLevel, std::string_view aPart, std::string_view aMessage)
+StopLogging()
+{
+  State().m_writer.reset();
+}
+
+void
+LogEvent(LogLevel aLevel,
+         std::string_view aPart,
+         std::string_view aEvent,
+         std::initializer_list<LogField> aFields)
 {
-  const std::string line =
-    "part=" + std::string(aPart) + " " + std::string(aMessage);
-  switch (aLevel) {
-    case LogLevel::Debug:
-      LOG(DEBUG) << line;
-      return;
-    case LogLevel::Info:
-      LOG(INFO) << line;
-      return;
-    case LogLevel::Warning:
-      LOG(WARNING) << line;
-      return;
-    case LogLevel::Error:
-      LOG(ERROR) << line;
-      return;
+  LogState& state = State();
+  if (aLevel < state.m_least || !state.m_writer) {
+    return;
   }
+  boost::json::object line;
+  line["t"] = WallMilliseconds();
+  line["process"] = state.m_process;
+  line["level"] = View(ToText(aLevel));
+  line["part"] = View(aPart);
+  line["event"] = View(aEvent);
+  for (const LogField& field : aFields) {
+    line[View(field.m_name)] = ToJson(field.m_value);
+  }
+  const uint64_t dropped = state.m_writer->TakeDropped();
+  if (dropped > 0) {
+    line["lines_dropped"] = dropped;
+  }
+  state.m_writer->Push(aLevel, boost::json::serialize(line));
+}
+
+void
+Log(LogLevel aLevel, std::string_view aPart, std::string_view aMessage)
+{
+  LogEvent(aLevel, aPart, "message", { { "text", aMessage } });
 }
 
 void
@@ -74,7 +115,11 @@
            std::string_view aPart,
            const core::Failure& aFailure)
 {
-  Log(aLevel, aPart, "failure=" + core::Describe(aFailure));
+  LogEvent(aLevel,
+           aPart,
+           "failure",
+           { { "kind", core::KindOf(aFailure) },
+             { "detail", core::Describe(aFailure) } });
 }
 
 } // namespace heatherdeal::kernel
--- a/src/kernel/internal/plugin.cpp
+++ b/src/kernel/internal/plugin.cpp
@@ -26,9 +26,14 @@
 NeedsAreMet(const PluginDescriptor& aPlugin,
             std::span<const PluginDescriptor> aStarted)
 {
-  return std::ranges::all_of(aPlugin.m_needs, [&](std::string_view aNeed) {
-    return Contains(aStarted, aNeed);
-  });
+  const auto started = [&](std::string_view aName) {
+    return Contains(aStarted, aName);
+  };
+  const auto startedOrAbsent = [&](std::string_view aName) {
+    return started(aName) || !Contains(Registry(), aName);
+  };
+  return std::ranges::all_of(aPlugin.m_needs, started) &&
+         std::ranges::all_of(aPlugin.m_after, startedOrAbsent);
 }
 
 } // namespace
--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -11,7 +11,7 @@
 #include "cxxopts.hpp"
 
 #include "kernel/deadlinetimer.h"
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
 #include "kernel/plugin.h"
 
 #ifndef HEATHERDEAL_VERSION
@@ -185,11 +185,45 @@
   }
 }
 
+/// Checks the settings file again after SIGHUP. Plug-ins read their sections
+/// at the start only; an invalid file shows now, not at the next start.
+void
+NoteReload(const Program& aProgram,
+           std::string_view aFile,
+           std::span<const PluginDescriptor> aPlugins)
+{
+  SettingsErrors errors;
+  const auto document = ReadDocument(aFile, errors);
+  if (document) {
+    ParseSections(*document, aPlugins, errors);
+  }
+  LogEvent(LogLevel::Info,
+           "kernel",
+           "reloaded",
+           { { "program", aProgram.m_name },
+             { "valid", errors.m_errors.empty() } });
+}
+
+void
+AwaitReload(boost::asio::signal_set& aSignals, std::function<void()> aReload)
+{
+  aSignals.async_wait(
+    [&aSignals, aReload](boost::system::error_code aError, int) {
+      if (!aError) {
+        aReload();
+        AwaitReload(aSignals, aReload);
+      }
+    });
+}
+
 ExitCode
 RunUntilDrained(Context& aContext,
                 std::span<const PluginDescriptor> aPlugins,
-                core::Duration aDrainLimit)
+                core::Duration aDrainLimit,
+                std::function<void()> aReload)
 {
+  boost::asio::signal_set reloads(aContext.Control().Context(), SIGHUP);
+  AwaitReload(reloads, std::move(aReload));
   ExitCode code = ExitCode::Ok;
   DeadlineTimer drainTimer(aContext.Control(), [&] {
     Log(LogLevel::Error, "kernel", "event=drain-timed-out");
@@ -202,7 +236,7 @@
     if (aError) {
       return;
     }
-    Log(LogLevel::Info, "kernel", "event=drain-started");
+    LogEvent(LogLevel::Info, "kernel", "drain-started", {});
     drainTimer.Set(Now() + aDrainLimit);
     DrainPlugins(aContext, aPlugins);
     aContext.Stopping().Request(
@@ -246,14 +280,26 @@
   Context context(parsed.m_kernel.m_identity, parsed.m_kernel.m_trafficThreads);
   const absl::Status started = StartPlugins(context, plugins, parsed.m_plugins);
   if (!started.ok()) {
-    Log(LogLevel::Error, "kernel", "event=start-failed " + started.ToString());
+    LogEvent(LogLevel::Error,
+             "kernel",
+             "start-failed",
+             { { "reason", started.ToString() } });
     context.Traffic().Stop();
     return ExitCode::StartFailed;
   }
-  Log(LogLevel::Info, "kernel", "event=started");
+  LogEvent(LogLevel::Info,
+           "kernel",
+           "started",
+           { { "version", HEATHERDEAL_VERSION },
+             { "failure_domain", context.Self().m_failureDomain } });
   const ExitCode code =
-    RunUntilDrained(context, plugins, parsed.m_kernel.m_drainLimit);
-  Log(LogLevel::Info, "kernel", "event=stopped");
+    RunUntilDrained(context, plugins, parsed.m_kernel.m_drainLimit, [&] {
+      NoteReload(aProgram, aCommandLine.m_settingsFile, plugins);
+    });
+  LogEvent(LogLevel::Info,
+           "kernel",
+           "stopped",
+           { { "exit_code", static_cast<int32_t>(code) } });
   return code;
 }
 
@@ -267,8 +313,10 @@
   if (const ExitCode* code = std::get_if<ExitCode>(&commandLine)) {
     return static_cast<int>(*code);
   }
-  return static_cast<int>(
-    RunWithSettings(aProgram, std::get<CommandLine>(commandLine)));
+  const ExitCode code =
+    RunWithSettings(aProgram, std::get<CommandLine>(commandLine));
+  StopLogging();
+  return static_cast<int>(code);
 }
 
 } // namespace heatherdeal::kernel
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -14,11 +14,15 @@
   Error,
 };
 
-/// Sends log lines to standard error, from aLeast on.
+/// Sends log lines to standard output, from aLeast on.
 void
 StartLogging(std::string_view aProcess, LogLevel aLeast);
 
-/// One line: time, process, level, the part that speaks, the message.
+/// Writes what waits; later lines are lost.
+void
+StopLogging();
+
+/// One line with a message in words; prefer LogEvent.
 void
 Log(LogLevel aLevel, std::string_view aPart, std::string_view aMessage);
 
--- a/src/lease/internal/leaseclient.cpp
+++ b/src/lease/internal/leaseclient.cpp
@@ -7,11 +7,11 @@
 namespace heatherdeal::lease {
 
 LeaseClient::LeaseClient(kernel::Context& aContext,
-                         platform::ObjectKey aKey,
+                         objectstore::ObjectKey aKey,
                          LeasePolicy aPolicy,
                          std::string aSelf,
                          LeaseCallbacks aCallbacks)
-  : m_store(aContext.Get<platform::ObjectStore>())
+  : m_store(aContext.Get<objectstore::ObjectStore>())
   , m_key(std::move(aKey))
   , m_callbacks(std::move(aCallbacks))
   , m_timer(aContext.Control(), [this] { Feed(StepDue{}); })
@@ -51,9 +51,9 @@
 {
   m_store->Read(
     m_key,
-    platform::CallPriority::Lease,
+    objectstore::CallPriority::Lease,
     [self =
-       shared_from_this()](absl::StatusOr<platform::StoredObject> aObject) {
+       shared_from_this()](absl::StatusOr<objectstore::StoredObject> aObject) {
       if (!aObject.ok()) {
         self->Feed(ReadFailed{ http::FailureOf(aObject.status()) });
         return;
@@ -76,7 +76,7 @@
     m_key,
     aEffect.m_ifVersion,
     ToJson(aEffect.m_record),
-    platform::CallPriority::Lease,
+    objectstore::CallPriority::Lease,
     [self = shared_from_this()](absl::StatusOr<uint64_t> aVersion) {
       if (aVersion.ok()) {
         self->Feed(WriteSucceeded{ *aVersion });
--- a/src/lease/internal/leaserecord.h
+++ b/src/lease/internal/leaserecord.h
@@ -3,7 +3,7 @@
 #include "absl/status/statusor.h"
 
 #include "lease/lease.h"
-#include "platform/object.h"
+#include "objectstore/object.h"
 
 namespace heatherdeal::lease {
 
@@ -13,6 +13,6 @@
 /// A missing object is a record of version 0; InvalidInput if the value is
 /// no lease.
 absl::StatusOr<LeaseRecord>
-ParseRecord(const platform::StoredObject& aObject);
+ParseRecord(const objectstore::StoredObject& aObject);
 
 } // namespace heatherdeal::lease
--- a/src/lease/leaseclient.h
+++ b/src/lease/leaseclient.h
@@ -6,7 +6,7 @@
 
 #include "kernel/deadlinetimer.h"
 #include "lease/lease.h"
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 namespace heatherdeal::lease {
 
@@ -22,7 +22,7 @@
 {
 public:
   LeaseClient(kernel::Context& aContext,
-              platform::ObjectKey aKey,
+              objectstore::ObjectKey aKey,
               LeasePolicy aPolicy,
               std::string aSelf,
               LeaseCallbacks aCallbacks);
@@ -39,8 +39,8 @@
   void Run(const LeaseGranted& aEffect);
   void Run(const LeaseLost& aEffect);
 
-  std::shared_ptr<platform::ObjectStore> m_store;
-  platform::ObjectKey m_key;
+  std::shared_ptr<objectstore::ObjectStore> m_store;
+  objectstore::ObjectKey m_key;
   LeaseState m_state;
   LeaseCallbacks m_callbacks;
   kernel::DeadlineTimer m_timer;
--- a/src/platform/backoff.h
+++ b/src/objectstore/backoff.h
@@ -4,7 +4,7 @@
 
 #include "core/instant.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 struct BackoffPolicy
 {
@@ -24,4 +24,4 @@
 core::Instant
 NextTry(BackoffState& aState, const BackoffPolicy& aPolicy, core::Instant aNow);
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/callbudget.h
+++ b/src/objectstore/callbudget.h
@@ -4,7 +4,7 @@
 
 #include "core/instant.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 /// What a call to the object API is for; the first is served first.
 enum class CallPriority : uint8_t
@@ -35,4 +35,4 @@
          CallPriority aPriority,
          core::Instant aNow);
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/decisions/backoff.cpp
+++ b/src/objectstore/decisions/backoff.cpp
@@ -1,9 +1,9 @@
-#include "platform/backoff.h"
+#include "objectstore/backoff.h"
 
 #include <algorithm>
 #include <random>
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 namespace {
 
@@ -25,4 +25,4 @@
   return aNow + core::Duration(jitter(generator));
 }
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/decisions/callbudget.cpp
+++ b/src/objectstore/decisions/callbudget.cpp
@@ -1,8 +1,8 @@
-#include "platform/callbudget.h"
+#include "objectstore/callbudget.h"
 
 #include <algorithm>
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 namespace {
 
@@ -38,4 +38,4 @@
   return true;
 }
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/hostlist.h
+++ b/src/objectstore/hostlist.h
@@ -9,9 +9,10 @@
 #include "absl/status/statusor.h"
 
 #include "core/ids.h"
-#include "platform/object.h"
+#include "core/weightversion.h"
+#include "objectstore/object.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 /// Refuses orders with an old fencing number.
 struct ChecksFence
@@ -24,6 +25,13 @@
 /// Whether an upstream checks who gives it an order.
 using Fencing = std::variant<ChecksFence, IgnoresFence>;
 
+/// The version of one set of weights that a host serves.
+struct ServedWeights
+{
+  std::string m_name;
+  core::WeightVersion m_version;
+};
+
 /// One line of the platform's host list. It lags behind.
 struct HostEntry
 {
@@ -37,6 +45,9 @@
   /// UDP port of the system's own messages; 0 for other hosts.
   uint16_t m_gossipPort = 0;
   Fencing m_fencing = ChecksFence{};
+  std::vector<ServedWeights> m_weights;
+  /// Differs between the starts of a host that keeps its name; 0: not told.
+  uint64_t m_incarnation = 0;
 };
 
 /// InvalidInput if the value is no host entry.
@@ -47,4 +58,4 @@
 std::vector<HostEntry>
 ParseHostList(std::span<const StoredObject> aObjects, uint64_t& aInvalid);
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/internal/hostlist.cpp
+++ b/src/objectstore/internal/hostlist.cpp
@@ -1,8 +1,8 @@
-#include "platform/hostlist.h"
+#include "objectstore/hostlist.h"
 
 #include "kernel/json.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 namespace {
 
@@ -27,6 +27,17 @@
   if (!aReader.FlagOr("checks_fence", true)) {
     entry.m_fencing = IgnoresFence{};
   }
+  entry.m_incarnation = static_cast<uint64_t>(
+    aReader.IntegerOr("incarnation", { 0, INT64_MAX }, 0));
+  aReader.ForEach(
+    "weights", [&](const boost::json::value& aValue, std::string_view aPath) {
+      kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+      ServedWeights weights;
+      weights.m_name = element.Text("name");
+      weights.m_version.m_number =
+        static_cast<uint64_t>(element.Integer("version", { 0, INT64_MAX }));
+      entry.m_weights.push_back(std::move(weights));
+    });
   return entry;
 }
 
@@ -58,4 +69,4 @@
   return entries;
 }
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- /dev/null
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -0,0 +1,97 @@
+#include "objectstore/internal/objectcalls.h"
+
+namespace heatherdeal::objectstore {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kNotFound = 404;
+
+} // namespace
+
+asio::awaitable<absl::StatusOr<StoredObject>>
+CallRead(http::Client& aClient,
+         core::Endpoint aPeer,
+         ObjectKey aKey,
+         core::Instant aDeadline)
+{
+  http::Request request = CodecInUse().m_encodeRead(aKey);
+  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
+    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+  if (!answer.ok()) {
+    co_return answer.status();
+  }
+  co_return CodecInUse().m_decodeRead(aKey, *answer, aPeer);
+}
+
+asio::awaitable<absl::StatusOr<uint64_t>>
+CallWrite(http::Client& aClient,
+          core::Endpoint aPeer,
+          WriteRequest aWrite,
+          core::Instant aDeadline)
+{
+  http::Request request = CodecInUse().m_encodeWrite(aWrite);
+  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
+    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+  if (!answer.ok()) {
+    co_return answer.status();
+  }
+  co_return CodecInUse().m_decodeWrite(aWrite, *answer, aPeer);
+}
+
+asio::awaitable<absl::StatusOr<bool>>
+CallRemove(http::Client& aClient,
+           core::Endpoint aPeer,
+           ObjectKey aKey,
+           core::Instant aDeadline)
+{
+  http::Request request = CodecInUse().m_encodeRemove(aKey);
+  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
+    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+  if (!answer.ok()) {
+    co_return answer.status();
+  }
+  const uint32_t status = answer->m_head.m_status;
+  co_return status == kOk || status == kNotFound;
+}
+
+asio::awaitable<absl::StatusOr<ObjectList>>
+CallList(http::Client& aClient,
+         core::Endpoint aPeer,
+         ListRequest aList,
+         core::Instant aDeadline)
+{
+  ObjectList whole;
+  for (;;) {
+    http::Request request = CodecInUse().m_encodeList(aList);
+    const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
+      aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+    if (!answer.ok()) {
+      co_return answer.status();
+    }
+    absl::StatusOr<ObjectList> page =
+      CodecInUse().m_decodeList(aList, *answer, aPeer);
+    if (!page.ok()) {
+      co_return page.status();
+    }
+    const bool isFirst = aList.m_continueAfter.empty();
+    if (isFirst && !page->m_isTruncated) {
+      co_return page;
+    }
+    if (isFirst) {
+      // Changes behind the first page's revision come with the watch.
+      whole.m_revision = page->m_revision;
+    }
+    for (StoredObject& object : page->m_objects) {
+      whole.m_objects.push_back(std::move(object));
+    }
+    if (!page->m_isTruncated || page->m_objects.empty()) {
+      co_return whole;
+    }
+    aList.m_continueAfter = whole.m_objects.back().m_key.m_name;
+  }
+}
+
+} // namespace heatherdeal::objectstore
--- a/src/platform/internal/objectcalls.cpp
+++ b/src/objectstore/internal/owncodec.cpp
@@ -1,22 +1,22 @@
-#include "platform/internal/objectcalls.h"
+#include "objectstore/objectcodec.h"
 
 #include "boost/json/serialize.hpp"
 
 #include "core/failure.h"
+#include "http/client.h"
 #include "kernel/json.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kNotFound = 404;
 constexpr uint32_t kConflict = 409;
 constexpr uint32_t kGone = 410;
 constexpr uint32_t kTooManyRequests = 429;
 constexpr int64_t kMaxVersion = INT64_MAX;
+constexpr std::string_view kHostKinds[] = { "hosts" };
 
 std::string
 TargetOf(const ObjectKey& aKey)
@@ -66,40 +66,35 @@
     core::VersionConflict{ aWrite.m_ifVersion, found->m_version });
 }
 
-} // namespace
-
-asio::awaitable<absl::StatusOr<StoredObject>>
-CallRead(http::Client& aClient,
-         core::Endpoint aPeer,
-         ObjectKey aKey,
-         core::Instant aDeadline)
+http::Request
+EncodeRead(const ObjectKey& aKey)
 {
   http::Request request;
   request.m_target = TargetOf(aKey);
-  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
-  if (!answer.ok()) {
-    co_return answer.status();
-  }
-  if (answer->m_head.m_status == kNotFound) {
+  return request;
+}
+
+absl::StatusOr<StoredObject>
+DecodeRead(const ObjectKey& aKey,
+           const http::Answer& aAnswer,
+           const core::Endpoint& aPeer)
+{
+  if (aAnswer.m_head.m_status == kNotFound) {
     StoredObject missing;
-    missing.m_key = std::move(aKey);
-    co_return missing;
+    missing.m_key = aKey;
+    return missing;
   }
-  if (answer->m_head.m_status != kOk) {
-    co_return StatusOfAnswer(*answer, aPeer);
+  if (aAnswer.m_head.m_status != kOk) {
+    return StatusOfAnswer(aAnswer, aPeer);
   }
-  co_return kernel::ParseMessage<StoredObject>(
-    answer->m_body, "object", [&](kernel::SettingsReader& aReader) {
+  return kernel::ParseMessage<StoredObject>(
+    aAnswer.m_body, "object", [&](kernel::SettingsReader& aReader) {
       return ParseObject(aReader, aKey.m_kind);
     });
 }
 
-asio::awaitable<absl::StatusOr<uint64_t>>
-CallWrite(http::Client& aClient,
-          core::Endpoint aPeer,
-          WriteRequest aWrite,
-          core::Instant aDeadline)
+http::Request
+EncodeWrite(const WriteRequest& aWrite)
 {
   boost::json::object body;
   body["if_version"] = aWrite.m_ifVersion;
@@ -109,50 +104,61 @@
   request.m_method = "PUT";
   request.m_target = TargetOf(aWrite.m_key);
   request.m_body = boost::json::serialize(body);
-  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
-  if (!answer.ok()) {
-    co_return answer.status();
-  }
-  if (answer->m_head.m_status == kConflict) {
-    co_return ConflictOf(*answer, aWrite);
+  return request;
+}
+
+absl::StatusOr<uint64_t>
+DecodeWrite(const WriteRequest& aWrite,
+            const http::Answer& aAnswer,
+            const core::Endpoint& aPeer)
+{
+  if (aAnswer.m_head.m_status == kConflict) {
+    return ConflictOf(aAnswer, aWrite);
   }
-  if (answer->m_head.m_status != kOk) {
-    co_return StatusOfAnswer(*answer, aPeer);
+  if (aAnswer.m_head.m_status != kOk) {
+    return StatusOfAnswer(aAnswer, aPeer);
   }
-  co_return kernel::ParseMessage<uint64_t>(
-    answer->m_body, "write answer", [](kernel::SettingsReader& aReader) {
+  return kernel::ParseMessage<uint64_t>(
+    aAnswer.m_body, "write answer", [](kernel::SettingsReader& aReader) {
       return static_cast<uint64_t>(
         aReader.Integer("version", { 0, kMaxVersion }));
     });
 }
 
-asio::awaitable<absl::StatusOr<ObjectList>>
-CallList(http::Client& aClient,
-         core::Endpoint aPeer,
-         std::string aKind,
-         uint64_t aAfter,
-         core::Duration aWait,
-         core::Instant aDeadline)
+http::Request
+EncodeRemove(const ObjectKey& aKey)
+{
+  http::Request request;
+  request.m_method = "DELETE";
+  request.m_target = TargetOf(aKey);
+  return request;
+}
+
+http::Request
+EncodeList(const ListRequest& aList)
 {
   const auto wait =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aWait);
+    std::chrono::duration_cast<std::chrono::milliseconds>(aList.m_wait);
   http::Request request;
-  request.m_target = "/watch/" + aKind + "?after=" + std::to_string(aAfter) +
+  request.m_target = "/watch/" + aList.m_kind +
+                     "?after=" + std::to_string(aList.m_after.value_or(0)) +
                      "&wait_ms=" + std::to_string(wait.count());
-  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
-  if (!answer.ok()) {
-    co_return answer.status();
-  }
-  if (answer->m_head.m_status == kGone) {
-    co_return core::ToStatus(core::WatchGap{ aKind });
+  return request;
+}
+
+absl::StatusOr<ObjectList>
+DecodeList(const ListRequest& aList,
+           const http::Answer& aAnswer,
+           const core::Endpoint& aPeer)
+{
+  if (aAnswer.m_head.m_status == kGone) {
+    return core::ToStatus(core::WatchGap{ aList.m_kind });
   }
-  if (answer->m_head.m_status != kOk) {
-    co_return StatusOfAnswer(*answer, aPeer);
+  if (aAnswer.m_head.m_status != kOk) {
+    return StatusOfAnswer(aAnswer, aPeer);
   }
-  co_return kernel::ParseMessage<ObjectList>(
-    answer->m_body, "list", [&](kernel::SettingsReader& aReader) {
+  return kernel::ParseMessage<ObjectList>(
+    aAnswer.m_body, "list", [&](kernel::SettingsReader& aReader) {
       ObjectList list;
       list.m_revision =
         static_cast<uint64_t>(aReader.Integer("revision", { 0, kMaxVersion }));
@@ -160,10 +166,47 @@
         "objects",
         [&](const boost::json::value& aValue, std::string_view aPath) {
           kernel::SettingsReader element(aValue, aPath, aReader.Errors());
-          list.m_objects.push_back(ParseObject(element, aKind));
+          list.m_objects.push_back(ParseObject(element, aList.m_kind));
         });
       return list;
     });
 }
 
-} // namespace heatherdeal::platform
+const ObjectCodec kOwnCodec{
+  .m_encodeRead = EncodeRead,
+  .m_decodeRead = DecodeRead,
+  .m_encodeWrite = EncodeWrite,
+  .m_decodeWrite = DecodeWrite,
+  .m_encodeRemove = EncodeRemove,
+  .m_encodeList = EncodeList,
+  .m_decodeList = DecodeList,
+  .m_hostKinds = kHostKinds,
+};
+
+const ObjectCodec*&
+Registered()
+{
+  static const ObjectCodec* registered = nullptr;
+  return registered;
+}
+
+} // namespace
+
+const ObjectCodec&
+OwnCodec()
+{
+  return kOwnCodec;
+}
+
+ObjectCodecRegistration::ObjectCodecRegistration(const ObjectCodec& aCodec)
+{
+  Registered() = &aCodec;
+}
+
+const ObjectCodec&
+CodecInUse()
+{
+  return Registered() == nullptr ? kOwnCodec : *Registered();
+}
+
+} // namespace heatherdeal::objectstore
--- a/src/platform/object.h
+++ b/src/objectstore/object.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 /// Largest value that the object API takes, in bytes.
 inline constexpr size_t kMaxValueBytes = 1024 * 1024;
@@ -27,4 +27,4 @@
   std::string m_writeToken;
 };
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -11,11 +11,11 @@
 #include "core/ids.h"
 #include "http/client.h"
 #include "kernel/context.h"
-#include "platform/backoff.h"
-#include "platform/callbudget.h"
-#include "platform/object.h"
+#include "objectstore/backoff.h"
+#include "objectstore/callbudget.h"
+#include "objectstore/object.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 struct ObjectStoreSettings
 {
@@ -24,6 +24,8 @@
   BackoffPolicy m_backoff;
   core::Duration m_callTime = std::chrono::seconds(2);
   core::Duration m_watchTime = std::chrono::seconds(20);
+  /// How long entries that lapsed during an outage are kept after it.
+  core::Duration m_lapseGrace = std::chrono::milliseconds(1900);
 };
 
 /// Client of the platform's object API. Called on the control thread, and
@@ -50,11 +52,21 @@
              CallPriority aPriority,
              WriteCallback aDone);
 
+  /// Removes the object if the store can be reached; nobody waits for it.
+  void Remove(ObjectKey aKey);
+
   /// Calls back with every object of the kind, whenever one has changed.
   /// Goes on until the process ends; a gap leads to a new list.
   void Watch(std::string aKind, WatchCallback aChanged);
 
+  /// The same for objects that lapse while their writers cannot reach the
+  /// store: those missing after an outage are kept for a grace time.
+  void WatchLapsing(std::string aKind, WatchCallback aChanged);
+
 private:
+  void StartWatch(std::string aKind,
+                  core::Duration aLapseGrace,
+                  WatchCallback aChanged);
   std::string NextToken();
   core::Endpoint NextEndpoint();
 
@@ -66,4 +78,4 @@
   size_t m_nextEndpoint = 0;
 };
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/platformmodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -1,16 +1,16 @@
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
+#include "objectstore/objectcodec.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 namespace {
 
 constexpr int64_t kMaxPort = 65535;
 constexpr double kMaxCallsPerSecond = 2000.0;
 constexpr int64_t kMaxMilliseconds = 600'000;
-constexpr std::string_view kHostKind = "hosts";
 
 std::any
 ParseSettings(kernel::SettingsReader& aReader)
@@ -40,6 +40,8 @@
     aReader.MillisecondsOr("watch_time_ms", range, settings.m_watchTime);
   settings.m_backoff.m_greatest = aReader.MillisecondsOr(
     "backoff_max_ms", range, settings.m_backoff.m_greatest);
+  settings.m_lapseGrace = aReader.MillisecondsOr(
+    "lapse_grace_ms", { 0, kMaxMilliseconds }, settings.m_lapseGrace);
   return settings;
 }
 
@@ -51,12 +53,15 @@
   auto hosts = std::make_shared<Hosts>();
   aContext.Provide(store);
   aContext.Provide(hosts);
-  store->Watch(std::string(kHostKind),
-               [hosts, &aContext](std::span<const StoredObject> aObjects) {
-                 uint64_t invalid = 0;
-                 hosts->Replace(ParseHostList(aObjects, invalid));
-                 aContext.Metrics().Get("platform.invalid_host").Add(invalid);
-               });
+  for (const std::string_view kind : CodecInUse().m_hostKinds) {
+    store->WatchLapsing(
+      std::string(kind),
+      [hosts, kind, &aContext](std::span<const StoredObject> aObjects) {
+        uint64_t invalid = 0;
+        hosts->Replace(kind, ParseHostList(aObjects, invalid));
+        aContext.Metrics().Get("objectstore.invalid_host").Add(invalid);
+      });
+  }
   return absl::OkStatus();
 }
 
@@ -88,4 +93,4 @@
 
 } // namespace
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/platform/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -1,4 +1,4 @@
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 #include <future>
 
@@ -7,7 +7,7 @@
 #include "http/tests/loopback.h"
 #include "standin/objectapi/objectapi.h"
 
-namespace heatherdeal::platform {
+namespace heatherdeal::objectstore {
 
 namespace {
 
@@ -202,4 +202,4 @@
   }
 }
 
-} // namespace heatherdeal::platform
+} // namespace heatherdeal::objectstore
--- a/src/reports/internal/reports.cpp
+++ b/src/reports/internal/reports.cpp
@@ -96,11 +96,11 @@
 }
 
 void
-Reports::SetEngines(std::span<const platform::HostEntry> aEngines)
+Reports::SetEngines(std::span<const objectstore::HostEntry> aEngines)
 {
   const auto before = m_wanted.Read();
   std::map<core::UpstreamId, core::Endpoint> wanted;
-  for (const platform::HostEntry& engine : aEngines) {
+  for (const objectstore::HostEntry& engine : aEngines) {
     wanted[core::UpstreamId{ engine.m_name }] = engine.m_endpoint;
   }
   m_wanted.Publish(wanted);
--- a/src/reports/reports.h
+++ b/src/reports/reports.h
@@ -11,7 +11,7 @@
 #include "core/weightversion.h"
 #include "kernel/context.h"
 #include "kernel/published.h"
-#include "platform/hosts.h"
+#include "objectstore/hosts.h"
 
 namespace heatherdeal::reports {
 
@@ -38,7 +38,7 @@
   /// Control thread only.
   void Subscribe(Listener aListener);
   /// Names the hosts to ask; those no longer named are asked no more.
-  void SetEngines(std::span<const platform::HostEntry> aEngines);
+  void SetEngines(std::span<const objectstore::HostEntry> aEngines);
 
   const std::map<core::UpstreamId, EngineStatus>& Latest() const
   {
--- a/src/reports/reportsmodule.cpp
+++ b/src/reports/reportsmodule.cpp
@@ -3,7 +3,7 @@
 #include "configuration/configurationmodule.h"
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 
 namespace heatherdeal::reports {
 
@@ -27,12 +27,12 @@
 }
 
 /// The hosts that run a service of engines.
-std::vector<platform::HostEntry>
+std::vector<objectstore::HostEntry>
 EnginesOf(const configuration::Document& aDocument,
-          std::span<const platform::HostEntry> aHosts)
+          std::span<const objectstore::HostEntry> aHosts)
 {
-  std::vector<platform::HostEntry> engines;
-  for (const platform::HostEntry& host : aHosts) {
+  std::vector<objectstore::HostEntry> engines;
+  for (const objectstore::HostEntry& host : aHosts) {
     const configuration::Service* service =
       configuration::FindService(aDocument, { host.m_service });
     if (service != nullptr &&
@@ -50,13 +50,13 @@
   auto reports = std::make_shared<Reports>(aContext, settings.m_interval);
   aContext.Provide(reports);
   const auto active = aContext.Get<configuration::Active>();
-  const auto hosts = aContext.Get<platform::Hosts>();
+  const auto hosts = aContext.Get<objectstore::Hosts>();
   const auto update = [reports, active, hosts] {
     const auto entries = hosts->Read();
     reports->SetEngines(EnginesOf(*active->Read(), *entries));
   };
   hosts->Subscribe(
-    [update](std::span<const platform::HostEntry>) { update(); });
+    [update](std::span<const objectstore::HostEntry>) { update(); });
   active->Subscribe([update](const configuration::Document&) { update(); });
   return absl::OkStatus();
 }
@@ -75,7 +75,7 @@
 
 constexpr std::string_view kNeeds[] = { configuration::kModuleName,
                                         http::kModuleName,
-                                        platform::kModuleName };
+                                        objectstore::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
--- a/src/rollout/internal/shardowner.cpp
+++ b/src/rollout/internal/shardowner.cpp
@@ -41,7 +41,7 @@
 {
   m_lease = std::make_shared<lease::LeaseClient>(
     *m_services.m_context,
-    platform::ObjectKey{ "leases", "shard-" + ToText(m_id) },
+    objectstore::ObjectKey{ "leases", "shard-" + ToText(m_id) },
     m_services.m_lease,
     http::ToText(m_services.m_self),
     lease::LeaseCallbacks{
--- a/src/rollout/internal/shardowner.h
+++ b/src/rollout/internal/shardowner.h
@@ -9,7 +9,7 @@
 #include "kernel/deadlinetimer.h"
 #include "kernel/mailbox.h"
 #include "lease/leaseclient.h"
-#include "platform/hosts.h"
+#include "objectstore/hosts.h"
 #include "reports/reports.h"
 #include "rollout/internal/prompts.h"
 #include "rollout/internal/signals.h"
--- a/src/rollout/internal/shards.cpp
+++ b/src/rollout/internal/shards.cpp
@@ -67,8 +67,8 @@
     [self](const configuration::Document& aDocument) {
       self->SetDocument(aDocument);
     });
-  m_context.Get<platform::Hosts>()->Subscribe(
-    [self](std::span<const platform::HostEntry>) {
+  m_context.Get<objectstore::Hosts>()->Subscribe(
+    [self](std::span<const objectstore::HostEntry>) {
       self->UpdateCandidacy();
       self->UpdateEngines();
     });
@@ -76,9 +76,9 @@
     [self](const reports::EngineStatus&) { self->UpdateEngines(); });
   m_context.Get<gossip::Gossip>()->SubscribeVersions(
     [self](const gossip::VersionNews& aNews) { self->SetVersion(aNews); });
-  m_context.Get<platform::ObjectStore>()->Watch(
+  m_context.Get<objectstore::ObjectStore>()->Watch(
     std::string(weights::kObjectKind),
-    [self](std::span<const platform::StoredObject> aObjects) {
+    [self](std::span<const objectstore::StoredObject> aObjects) {
       self->SetVersions(aObjects);
     });
 }
@@ -127,8 +127,8 @@
   const auto gossip = m_context.Get<gossip::Gossip>();
   const core::Instant now = kernel::Now();
   std::vector<std::string> live{ m_context.Self().m_host };
-  const auto hosts = m_context.Get<platform::Hosts>()->Read();
-  for (const platform::HostEntry& host : *hosts) {
+  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
+  for (const objectstore::HostEntry& host : *hosts) {
     const bool usable = host.m_service == kHostRole && !host.m_leaving &&
                         host.m_name != m_context.Self().m_host &&
                         !gossip->IsLeaving(host.m_name) &&
@@ -168,7 +168,7 @@
 
 uint32_t
 Shards::SlotsOf(const configuration::Job& aJob,
-                const platform::HostEntry& aHost) const
+                const objectstore::HostEntry& aHost) const
 {
   const auto document = m_context.Get<configuration::Active>()->Read();
   const auto* engines = EnginesOf(*document, aJob.m_service);
@@ -204,8 +204,8 @@
   std::vector<EngineReport> engines;
   std::map<core::UpstreamId, core::Endpoint> endpoints;
   std::vector<core::Endpoint> scorers;
-  const auto hosts = m_context.Get<platform::Hosts>()->Read();
-  for (const platform::HostEntry& host : *hosts) {
+  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
+  for (const objectstore::HostEntry& host : *hosts) {
     if (host.m_service == job.m_scorer.m_value && !host.m_leaving) {
       scorers.push_back(host.m_endpoint);
     }
@@ -226,9 +226,9 @@
 }
 
 void
-Shards::SetVersions(std::span<const platform::StoredObject> aObjects)
+Shards::SetVersions(std::span<const objectstore::StoredObject> aObjects)
 {
-  for (const platform::StoredObject& object : aObjects) {
+  for (const objectstore::StoredObject& object : aObjects) {
     const absl::StatusOr<core::WeightVersion> version =
       weights::ParseNewestVersion(object);
     if (version.ok()) {
--- a/src/rollout/internal/shards.h
+++ b/src/rollout/internal/shards.h
@@ -44,7 +44,7 @@
                                         uint32_t aIndex);
   void UpdateEngines();
   void UpdateEngines(ShardOwner& aOwner);
-  void SetVersions(std::span<const platform::StoredObject> aObjects);
+  void SetVersions(std::span<const objectstore::StoredObject> aObjects);
   void SetVersion(const gossip::VersionNews& aNews);
   /// Tells the other hosts which version a trainer has named in a pull.
   void SpreadVersion(const ShardSignal& aSignal);
@@ -52,7 +52,7 @@
   void ResignAll();
   /// Streams that one shard of the job may run on an engine.
   uint32_t SlotsOf(const configuration::Job& aJob,
-                   const platform::HostEntry& aHost) const;
+                   const objectstore::HostEntry& aHost) const;
 
   kernel::Context& m_context;
   RolloutSettings m_settings;
--- a/src/rollout/rolloutmodule.cpp
+++ b/src/rollout/rolloutmodule.cpp
@@ -5,7 +5,7 @@
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
 #include "lease/leasesettings.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 #include "reports/reportsmodule.h"
 #include "rollout/internal/shards.h"
 
@@ -50,7 +50,7 @@
 constexpr std::string_view kNeeds[] = { configuration::kModuleName,
                                         gossip::kModuleName,
                                         http::kModuleName,
-                                        platform::kModuleName,
+                                        objectstore::kModuleName,
                                         reports::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -77,7 +77,7 @@
 }
 
 void
-Router::SetHosts(std::span<const platform::HostEntry> aHosts)
+Router::SetHosts(std::span<const objectstore::HostEntry> aHosts)
 {
   m_hosts.assign(aHosts.begin(), aHosts.end());
   Rebuild();
@@ -98,21 +98,24 @@
   for (const configuration::Service& service : m_document.m_services) {
     auto pool = std::make_shared<Pool>();
     pool->m_service = service;
-    for (const platform::HostEntry& host : m_hosts) {
+    for (const objectstore::HostEntry& host : m_hosts) {
       if (host.m_service != service.m_name.m_value) {
         continue;
       }
       const core::UpstreamId id{ host.m_name };
       std::shared_ptr<UpstreamMeter>& meter = meters[id];
       const auto known = m_meters.find(id);
-      meter = known != m_meters.end() ? known->second
-                                      : std::make_shared<UpstreamMeter>();
+      const bool same = known != m_meters.end() &&
+                        known->second->m_incarnation == host.m_incarnation;
+      meter = same ? known->second : std::make_shared<UpstreamMeter>();
+      meter->m_incarnation = host.m_incarnation;
       pool->m_upstreams.push_back({ id,
                                     host.m_endpoint,
                                     host.m_failureDomain,
                                     host.m_slots,
                                     host.m_leaving,
-                                    meter });
+                                    meter,
+                                    host.m_weights });
     }
     pools.m_byService.emplace(service.m_name.m_value, std::move(pool));
   }
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -11,7 +11,7 @@
 #include "configuration/active.h"
 #include "core/ids.h"
 #include "kernel/published.h"
-#include "platform/hosts.h"
+#include "objectstore/hosts.h"
 #include "routing/choice.h"
 #include "routing/ejection.h"
 
@@ -29,6 +29,10 @@
   std::atomic<bool> m_leaving{ false };
   std::mutex m_mutex;
   EjectionState m_ejection;
+  /// The start of the upstream that this meter belongs to.
+  uint64_t m_incarnation = 0;
+  /// Newest weight version that its own answers named.
+  std::atomic<uint64_t> m_servedVersion{ 0 };
 };
 
 struct Upstream
@@ -39,6 +43,7 @@
   uint32_t m_slots = 1;
   bool m_leaving = false;
   std::shared_ptr<UpstreamMeter> m_meter;
+  std::vector<objectstore::ServedWeights> m_weights;
 };
 
 /// The upstreams of one service, as of one moment.
@@ -81,7 +86,7 @@
   explicit Router(std::string_view aOwnDomain);
 
   /// Control thread only.
-  void SetHosts(std::span<const platform::HostEntry> aHosts);
+  void SetHosts(std::span<const objectstore::HostEntry> aHosts);
   void SetDocument(const configuration::Document& aDocument);
 
   /// Null if there is no such service.
@@ -97,7 +102,7 @@
 
   core::FailureDomainId m_ownDomain;
   std::atomic<uint64_t> m_ticket{ 0 };
-  std::vector<platform::HostEntry> m_hosts;
+  std::vector<objectstore::HostEntry> m_hosts;
   configuration::Document m_document;
   std::map<core::UpstreamId, std::shared_ptr<UpstreamMeter>> m_meters;
   kernel::Published<Pools> m_pools;
--- a/src/routing/routingmodule.cpp
+++ b/src/routing/routingmodule.cpp
@@ -2,7 +2,7 @@
 
 #include "configuration/configurationmodule.h"
 #include "kernel/plugin.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 
 namespace heatherdeal::routing {
 
@@ -22,8 +22,8 @@
 {
   auto router = std::make_shared<Router>(aContext.Self().m_failureDomain);
   aContext.Provide(router);
-  aContext.Get<platform::Hosts>()->Subscribe(
-    [router](std::span<const platform::HostEntry> aHosts) {
+  aContext.Get<objectstore::Hosts>()->Subscribe(
+    [router](std::span<const objectstore::HostEntry> aHosts) {
       router->SetHosts(aHosts);
     });
   aContext.Get<configuration::Active>()->Subscribe(
@@ -53,7 +53,7 @@
 }
 
 constexpr std::string_view kNeeds[] = { configuration::kModuleName,
-                                        platform::kModuleName };
+                                        objectstore::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
--- a/src/standin/objectapi/objectapi.cpp
+++ b/src/standin/objectapi/objectapi.cpp
@@ -19,7 +19,7 @@
 
 constexpr int64_t kMaxWaitMilliseconds = 60'000;
 
-platform::ObjectKey
+objectstore::ObjectKey
 KeyOf(std::string_view aTarget)
 {
   std::string_view rest = http::PathOf(aTarget);
@@ -33,7 +33,7 @@
 }
 
 boost::json::value
-ToValue(const platform::StoredObject& aObject)
+ToValue(const objectstore::StoredObject& aObject)
 {
   return { { "name", aObject.m_key.m_name },
            { "version", aObject.m_version },
@@ -107,7 +107,7 @@
   if (co_await ActOutFault(aExchange)) {
     co_return;
   }
-  const platform::ObjectKey key = KeyOf(aExchange.Asked().m_target);
+  const objectstore::ObjectKey key = KeyOf(aExchange.Asked().m_target);
   http::Answer answer;
   {
     const std::scoped_lock lock(m_mutex);
@@ -126,7 +126,7 @@
   if (co_await ActOutFault(aExchange)) {
     co_return;
   }
-  const platform::ObjectKey key = KeyOf(aExchange.Asked().m_target);
+  const objectstore::ObjectKey key = KeyOf(aExchange.Asked().m_target);
   const absl::StatusOr<WriteMessage> write = kernel::ParseMessage<WriteMessage>(
     aExchange.Asked().m_body, "write", ReadWrite);
   if (!write.ok()) {
@@ -139,7 +139,7 @@
   {
     const std::scoped_lock lock(m_mutex);
     m_writes += 1;
-    platform::StoredObject& object = m_objects[key];
+    objectstore::StoredObject& object = m_objects[key];
     object.m_key = key;
     if (object.m_version != write->m_ifVersion) {
       answer = JsonAnswer(409, ToValue(object));
@@ -267,7 +267,7 @@
 void
 ObjectApi::Add(const InitialObject& aObject)
 {
-  platform::StoredObject& object = m_objects[aObject.m_key];
+  objectstore::StoredObject& object = m_objects[aObject.m_key];
   object.m_key = aObject.m_key;
   object.m_version = ++m_revision;
   object.m_value = aObject.m_value;
--- a/src/standin/objectapi/objectapi.h
+++ b/src/standin/objectapi/objectapi.h
@@ -11,14 +11,14 @@
 #include "http/exchange.h"
 #include "kernel/context.h"
 #include "kernel/reply.h"
-#include "platform/object.h"
+#include "objectstore/object.h"
 
 namespace heatherdeal::standin {
 
 /// An object that the store holds from the start.
 struct InitialObject
 {
-  platform::ObjectKey m_key;
+  objectstore::ObjectKey m_key;
   std::string m_value;
 };
 
@@ -65,7 +65,7 @@
 
   kernel::Context& m_context;
   mutable std::mutex m_mutex;
-  std::map<platform::ObjectKey, platform::StoredObject> m_objects;
+  std::map<objectstore::ObjectKey, objectstore::StoredObject> m_objects;
   std::map<std::string, uint64_t> m_revisions;
   std::vector<Waiter> m_waiters;
   Faults m_faults;
--- a/src/weights/internal/newestversion.cpp
+++ b/src/weights/internal/newestversion.cpp
@@ -5,7 +5,7 @@
 namespace heatherdeal::weights {
 
 absl::StatusOr<core::WeightVersion>
-ParseNewestVersion(const platform::StoredObject& aObject)
+ParseNewestVersion(const objectstore::StoredObject& aObject)
 {
   return kernel::ParseMessage<core::WeightVersion>(
     aObject.m_value, "weights", [](kernel::SettingsReader& aReader) {
--- /dev/null
+++ b/src/weights/internal/ordercodec.cpp
@@ -0,0 +1,66 @@
+#include "weights/ordercodec.h"
+
+#include "boost/json/serialize.hpp"
+
+namespace heatherdeal::weights {
+
+namespace {
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kConflict = 409;
+
+http::Request
+EncodeOrder(const OrderLoad& aOrder, const OrderOrigin&)
+{
+  const boost::json::value body{ { "kind", "load" },
+                                 { "version", aOrder.m_version.m_number },
+                                 { "fence", aOrder.m_fence } };
+  http::Request request;
+  request.m_method = "POST";
+  request.m_target = "/v1/orders";
+  request.m_body = boost::json::serialize(body);
+  return request;
+}
+
+OrderAnswer
+DecodeOrder(const OrderLoad& aOrder, const http::Answer& aAnswer)
+{
+  if (aAnswer.m_head.m_status == kOk) {
+    return OrderTaken{};
+  }
+  if (aAnswer.m_head.m_status == kConflict) {
+    return OrderRefused{ core::FenceRejected{ aOrder.m_fence } };
+  }
+  return OrderRefused{ core::PeerRefused{ aOrder.m_engine.m_value,
+                                          aAnswer.m_head.m_status,
+                                          core::Executed::Unknown } };
+}
+
+const OrderCodec kOwnCodec{
+  .m_encodeOrder = EncodeOrder,
+  .m_decodeOrder = DecodeOrder,
+  .m_encodeReport = nullptr,
+  .m_decodeReport = nullptr,
+};
+
+const OrderCodec*&
+Registered()
+{
+  static const OrderCodec* registered = nullptr;
+  return registered;
+}
+
+} // namespace
+
+OrderCodecRegistration::OrderCodecRegistration(const OrderCodec& aCodec)
+{
+  Registered() = &aCodec;
+}
+
+const OrderCodec&
+CodecInUse()
+{
+  return Registered() == nullptr ? kOwnCodec : *Registered();
+}
+
+} // namespace heatherdeal::weights
--- a/src/weights/internal/serviceweights.cpp
+++ b/src/weights/internal/serviceweights.cpp
@@ -2,11 +2,11 @@
 
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
-#include "boost/json/serialize.hpp"
 
 #include "http/exchange.h"
-#include "kernel/json.h"
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
+#include "kernel/sleep.h"
+#include "weights/ordercodec.h"
 
 namespace heatherdeal::weights {
 
@@ -15,43 +15,130 @@
 namespace asio = boost::asio;
 
 constexpr size_t kLoopIndex = 0;
-constexpr uint32_t kOk = 200;
-constexpr uint32_t kConflict = 409;
+// A load takes the better part of a second; engines report with a lag.
+constexpr core::Duration kReportAfter = std::chrono::milliseconds(950);
+constexpr core::Duration kReportAgain = std::chrono::milliseconds(150);
 
-core::Failure
-RefusalOf(const http::Answer& aAnswer, const OrderLoad& aOrder)
+/// One order on its way, and who gives it.
+struct OrderTask
 {
-  if (aAnswer.m_head.m_status == kConflict) {
-    return core::FenceRejected{ aOrder.m_fence };
+  OrderLoad m_order;
+  core::Endpoint m_peer;
+  std::string m_holder;
+  std::string m_weights;
+};
+
+asio::awaitable<absl::StatusOr<EngineReport>>
+AskReport(http::Client& aClient, const OrderTask& aTask)
+{
+  http::Request request =
+    CodecInUse().m_encodeReport(aTask.m_order.m_engine);
+  const absl::StatusOr<http::Answer> answer =
+    co_await aClient.Call(aTask.m_peer,
+                          std::move(request),
+                          http::Reuse::Allowed,
+                          aTask.m_order.m_deadline);
+  if (!answer.ok()) {
+    co_return answer.status();
+  }
+  co_return CodecInUse().m_decodeReport(aTask.m_weights, *answer);
+}
+
+asio::awaitable<OrderAnswer>
+GiveOrder(http::Client& aClient,
+          const OrderTask& aTask,
+          std::optional<uint64_t> aExpected)
+{
+  const OrderOrigin origin{ aTask.m_holder, aTask.m_weights, aExpected };
+  http::Request request = CodecInUse().m_encodeOrder(aTask.m_order, origin);
+  const absl::StatusOr<http::Answer> answer =
+    co_await aClient.Call(aTask.m_peer,
+                          std::move(request),
+                          http::Reuse::Never,
+                          aTask.m_order.m_deadline);
+  if (!answer.ok()) {
+    co_return OrderRefused{ http::FailureOf(answer.status()) };
+  }
+  co_return CodecInUse().m_decodeOrder(aTask.m_order, *answer);
+}
+
+/// Asks until the engine itself names the version, or the order's deadline.
+asio::awaitable<bool>
+AwaitVersion(http::Client& aClient, const OrderTask& aTask)
+{
+  core::Instant next = kernel::Now() + kReportAfter;
+  while (next < aTask.m_order.m_deadline) {
+    co_await kernel::SleepUntil(next);
+    const absl::StatusOr<EngineReport> report =
+      co_await AskReport(aClient, aTask);
+    if (report.ok() && report->m_version >= aTask.m_order.m_version) {
+      co_return true;
+    }
+    next = kernel::Now() + kReportAgain;
+  }
+  co_return false;
+}
+
+void
+Report(kernel::Context& aContext,
+       std::shared_ptr<ServiceWeights> aOwner,
+       const OrderTask& aTask,
+       std::optional<core::Failure> aFailure)
+{
+  const OrderLoad& order = aTask.m_order;
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "weights",
+    "order",
+    { { "engine", order.m_engine.m_value },
+      { "version", order.m_version.m_number },
+      { "fence", order.m_fence },
+      { "outcome", aFailure ? core::Describe(*aFailure) : "carried-out" } });
+  WaveEvent event = VersionObserved{ order.m_engine, order.m_version };
+  if (aFailure) {
+    event = OrderFailed{ order.m_engine, order.m_version, *aFailure };
   }
-  return core::PeerRefused{ aOrder.m_engine.m_value,
-                            aAnswer.m_head.m_status,
-                            core::Executed::Unknown };
+  aContext.Control().Post([aOwner, event] { aOwner->Feed(event); });
 }
 
+/// Gives the order and, where engines have to be asked, follows it up.
 asio::awaitable<void>
 SendOrder(kernel::Context& aContext,
           std::shared_ptr<ServiceWeights> aOwner,
-          core::Endpoint aPeer,
-          OrderLoad aOrder)
+          OrderTask aTask)
 {
-  const boost::json::value body{ { "kind", "load" },
-                                 { "version", aOrder.m_version.m_number },
-                                 { "fence", aOrder.m_fence } };
-  http::Request request;
-  request.m_method = "POST";
-  request.m_target = "/v1/orders";
-  request.m_body = boost::json::serialize(body);
   http::Client& client = aContext.Get<http::Clients>()->For(kLoopIndex);
-  const absl::StatusOr<http::Answer> answer = co_await client.Call(
-    aPeer, std::move(request), http::Reuse::Never, aOrder.m_deadline);
-  if (answer.ok() && answer->m_head.m_status == kOk) {
+  const bool asks = CodecInUse().m_encodeReport != nullptr;
+  std::optional<uint64_t> expected;
+  if (asks) {
+    const absl::StatusOr<EngineReport> report =
+      co_await AskReport(client, aTask);
+    if (!report.ok() || report->m_busy) {
+      const core::Failure failure =
+        core::PeerRefused{ aTask.m_order.m_engine.m_value,
+                           0,
+                           core::Executed::No };
+      Report(aContext, aOwner, aTask, failure);
+      co_return;
+    }
+    if (report->m_version >= aTask.m_order.m_version) {
+      Report(aContext, aOwner, aTask, std::nullopt);
+      co_return;
+    }
+    expected = report->m_orders;
+  }
+  const OrderAnswer answer = co_await GiveOrder(client, aTask, expected);
+  if (const auto* refused = std::get_if<OrderRefused>(&answer)) {
+    Report(aContext, aOwner, aTask, refused->m_failure);
+    co_return;
+  }
+  if (!asks) {
     co_return;
   }
-  OrderFailed failed{ aOrder.m_engine, aOrder.m_version, {} };
-  failed.m_failure =
-    answer.ok() ? RefusalOf(*answer, aOrder) : http::FailureOf(answer.status());
-  aContext.Control().Post([aOwner, failed] { aOwner->Feed(failed); });
+  const bool holds = std::holds_alternative<OrderHolds>(answer);
+  if (holds || co_await AwaitVersion(client, aTask)) {
+    Report(aContext, aOwner, aTask, std::nullopt);
+  }
 }
 
 } // namespace
@@ -69,7 +156,7 @@
   SetService(aService);
   m_lease = std::make_shared<lease::LeaseClient>(
     aContext,
-    platform::ObjectKey{ "leases", "weights-" + aService.m_name.m_value },
+    objectstore::ObjectKey{ "leases", "weights-" + aService.m_name.m_value },
     leasePolicy,
     aContext.Self().m_host,
     lease::LeaseCallbacks{
@@ -110,21 +197,37 @@
 }
 
 void
-ServiceWeights::SetHosts(std::span<const platform::HostEntry> aHosts)
+ServiceWeights::SetHosts(std::span<const objectstore::HostEntry> aHosts)
 {
   EnginesListed listed;
   m_endpoints.clear();
-  for (const platform::HostEntry& host : aHosts) {
+  for (const objectstore::HostEntry& host : aHosts) {
     if (host.m_service != m_service.m_name.m_value) {
       continue;
     }
     const core::UpstreamId id{ host.m_name };
     const bool checksFence =
-      std::holds_alternative<platform::ChecksFence>(host.m_fencing);
+      std::holds_alternative<objectstore::ChecksFence>(host.m_fencing);
     m_endpoints[id] = host.m_endpoint;
     listed.m_engines.push_back({ id, checksFence, host.m_leaving });
   }
   Feed(listed);
+  ObserveVersions(aHosts);
+}
+
+void
+ServiceWeights::ObserveVersions(std::span<const objectstore::HostEntry> aHosts)
+{
+  for (const objectstore::HostEntry& host : aHosts) {
+    if (host.m_service != m_service.m_name.m_value) {
+      continue;
+    }
+    for (const objectstore::ServedWeights& weights : host.m_weights) {
+      if (weights.m_name == WeightsName()) {
+        Feed(VersionObserved{ { host.m_name }, weights.m_version });
+      }
+    }
+  }
 }
 
 void
@@ -155,8 +258,12 @@
   m_context.Metrics().Get("weights.orders").Add();
   asio::co_spawn(
     m_context.Traffic().Loop(kLoopIndex),
-    SendOrder(
-      m_context, shared_from_this(), m_endpoints[aEffect.m_engine], aEffect),
+    SendOrder(m_context,
+              shared_from_this(),
+              OrderTask{ aEffect,
+                         m_endpoints[aEffect.m_engine],
+                         m_context.Self().m_host,
+                         std::string(WeightsName()) }),
     asio::detached);
 }
 
--- a/src/weights/internal/serviceweights.h
+++ b/src/weights/internal/serviceweights.h
@@ -7,7 +7,7 @@
 #include "http/client.h"
 #include "kernel/deadlinetimer.h"
 #include "lease/leaseclient.h"
-#include "platform/hosts.h"
+#include "objectstore/hosts.h"
 #include "weights/wave.h"
 
 namespace heatherdeal::weights {
@@ -30,7 +30,7 @@
   void Start();
   void Resign();
   void SetService(const configuration::Service& aService);
-  void SetHosts(std::span<const platform::HostEntry> aHosts);
+  void SetHosts(std::span<const objectstore::HostEntry> aHosts);
   void Feed(const WaveEvent& aEvent);
 
   const WaveState& State() const { return m_state; }
@@ -38,6 +38,7 @@
 
 private:
   void Run(const OrderLoad& aEffect);
+  void ObserveVersions(std::span<const objectstore::HostEntry> aHosts);
 
   kernel::Context& m_context;
   configuration::Service m_service;
--- a/src/weights/weightsmodule.cpp
+++ b/src/weights/weightsmodule.cpp
@@ -4,7 +4,7 @@
 #include "gossip/gossipmodule.h"
 #include "kernel/plugin.h"
 #include "lease/leasesettings.h"
-#include "platform/platformmodule.h"
+#include "objectstore/objectstoremodule.h"
 #include "reports/reportsmodule.h"
 #include "weights/internal/serviceweights.h"
 #include "weights/newestversion.h"
@@ -50,7 +50,7 @@
   }
   weights = std::make_shared<ServiceWeights>(
     *aWeights.m_context, aService, aWeights.m_settings);
-  const auto hosts = aWeights.m_context->Get<platform::Hosts>()->Read();
+  const auto hosts = aWeights.m_context->Get<objectstore::Hosts>()->Read();
   weights->SetHosts(*hosts);
   const auto target = aWeights.m_targets.find(weights->WeightsName());
   if (target != aWeights.m_targets.end()) {
@@ -82,9 +82,9 @@
 }
 
 void
-SetTargets(Weights& aWeights, std::span<const platform::StoredObject> aObjects)
+SetTargets(Weights& aWeights, std::span<const objectstore::StoredObject> aObjects)
 {
-  for (const platform::StoredObject& object : aObjects) {
+  for (const objectstore::StoredObject& object : aObjects) {
     const absl::StatusOr<core::WeightVersion> version =
       ParseNewestVersion(object);
     if (!version.ok()) {
@@ -108,27 +108,29 @@
     [weights](const configuration::Document& aDocument) {
       SetDocument(*weights, aDocument);
     });
-  aContext.Get<platform::Hosts>()->Subscribe(
-    [weights](std::span<const platform::HostEntry> aHosts) {
+  aContext.Get<objectstore::Hosts>()->Subscribe(
+    [weights](std::span<const objectstore::HostEntry> aHosts) {
       for (const auto& [name, service] : weights->m_services) {
         service->SetHosts(aHosts);
       }
     });
-  aContext.Get<reports::Reports>()->Subscribe(
-    [weights](const reports::EngineStatus& aStatus) {
+  // Not linked in where engines are asked by the orders themselves.
+  if (const auto reports = aContext.Get<reports::Reports>()) {
+    reports->Subscribe([weights](const reports::EngineStatus& aStatus) {
       for (const auto& [name, service] : weights->m_services) {
         service->Feed(VersionObserved{ aStatus.m_engine, aStatus.m_version });
       }
     });
+  }
   // During an outage of the store a trainer's pull is the first to name a
   // version; the other hosts pass it on.
   aContext.Get<gossip::Gossip>()->SubscribeVersions(
     [weights](const gossip::VersionNews& aNews) {
       SetTarget(*weights, aNews);
     });
-  aContext.Get<platform::ObjectStore>()->Watch(
+  aContext.Get<objectstore::ObjectStore>()->Watch(
     std::string(kObjectKind),
-    [weights](std::span<const platform::StoredObject> aObjects) {
+    [weights](std::span<const objectstore::StoredObject> aObjects) {
       SetTargets(*weights, aObjects);
     });
   return absl::OkStatus();
@@ -166,12 +168,13 @@
 
 constexpr std::string_view kNeeds[] = { configuration::kModuleName,
                                         gossip::kModuleName,
-                                        platform::kModuleName,
-                                        reports::kModuleName };
+                                        objectstore::kModuleName };
+constexpr std::string_view kAfter[] = { reports::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
   .m_needs = kNeeds,
+  .m_after = kAfter,
   .m_parseSettings = ParseSettings,
   .m_start = Start,
   .m_drain = Drain,
