--- /dev/null
+++ b/src/batches/batchesmodule.cpp
@@ -0,0 +1,66 @@
+#include "batches/batchesmodule.h"
+
+#include "configuration/configurationmodule.h"
+#include "gossip/gossipmodule.h"
+#include "kernel/plugin.h"
+#include "objectstore/objectstoremodule.h"
+#include "relay/relaymodule.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+constexpr kernel::Range kMilliseconds{ 0, 24 * 3600 * 1000 };
+
+std::any
+ParseSettings(kernel::SettingsReader& aReader)
+{
+  BatchesSettings settings;
+  settings.m_enabled = aReader.FlagOr("enabled", false);
+  settings.m_keep =
+    aReader.MillisecondsOr("keep_ms", kMilliseconds, settings.m_keep);
+  settings.m_drainTime =
+    aReader.MillisecondsOr("drain_time_ms", kMilliseconds, settings.m_drainTime);
+  return settings;
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any& aSettings)
+{
+  auto batches = std::make_shared<Batches>(
+    aContext, std::any_cast<const BatchesSettings&>(aSettings));
+  aContext.Provide(batches);
+  batches->Start();
+  return absl::OkStatus();
+}
+
+void
+Drain(kernel::Context& aContext)
+{
+  aContext.Get<Batches>()->StartLeaving();
+}
+
+boost::json::value
+Dump(kernel::Context& aContext)
+{
+  const auto batches = aContext.Get<Batches>();
+  return { { "known", batches->Known() }, { "owned", batches->Owned() } };
+}
+
+constexpr std::string_view kNeeds[] = { configuration::kModuleName,
+                                        gossip::kModuleName,
+                                        objectstore::kModuleName,
+                                        relay::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = Drain,
+  .m_dump = Dump,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/decisions/batchrun.cpp
@@ -0,0 +1,430 @@
+#include "batches/batchrun.h"
+
+#include <algorithm>
+
+#include "core/overloaded.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+constexpr core::Duration kAfterRefusal = std::chrono::milliseconds(60);
+constexpr core::Duration kAfterFailure = std::chrono::milliseconds(100);
+constexpr core::Duration kAfterOutdated = std::chrono::milliseconds(100);
+constexpr core::Duration kAfterNoScore = std::chrono::milliseconds(150);
+// A value of the object store holds a megabyte, encoding included.
+constexpr size_t kMaxChunkBytes = 400 * 1024;
+constexpr size_t kMaxChunkResults = 256;
+
+void
+AddVersions(std::vector<core::WeightVersion>& aInto,
+            std::span<const core::WeightVersion> aVersions)
+{
+  for (const core::WeightVersion version : aVersions) {
+    if (std::ranges::find(aInto, version) == aInto.end()) {
+      aInto.push_back(version);
+    }
+  }
+}
+
+void
+StartOver(ItemState& aItem)
+{
+  aItem.m_text.clear();
+  aItem.m_events = 0;
+  aItem.m_versions.clear();
+}
+
+void
+Decide(BatchRun& aRun,
+       size_t aItem,
+       std::variant<Completed, Lost> aOutcome,
+       core::Instant aNow)
+{
+  aRun.m_items[aItem].m_phase = ItemDone{};
+  if (aRun.m_ready.empty()) {
+    aRun.m_storeFrom = aNow + aRun.m_policy.m_gather;
+  }
+  const ItemId& id = aRun.m_submission->m_items[aItem].m_id;
+  aRun.m_ready.push_back({ id, std::move(aOutcome) });
+}
+
+void
+Complete(BatchRun& aRun, size_t aItem, std::string aScore, core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  Completed completed;
+  completed.m_text = std::move(item.m_text);
+  completed.m_versions = std::move(item.m_versions);
+  completed.m_score = std::move(aScore);
+  Decide(aRun, aItem, std::move(completed), aNow);
+}
+
+/// Keeps what the run has added to the text.
+void
+Append(ItemState& aItem, const RunReport& aReport)
+{
+  if (aReport.m_lastEvent == 0) {
+    return;
+  }
+  if (aItem.m_events > 0) {
+    aItem.m_text += '\n';
+  }
+  aItem.m_text += aReport.m_text;
+  aItem.m_events = aReport.m_lastEvent;
+  AddVersions(aItem.m_versions, aReport.m_versions);
+}
+
+bool
+VersionsFit(const BatchRun& aRun, const ItemState& aItem)
+{
+  const bool mixed =
+    aRun.m_policy.m_singleVersion && aItem.m_versions.size() > 1;
+  const bool old =
+    std::ranges::any_of(aItem.m_versions, [&](core::WeightVersion aVersion) {
+      return aVersion < aRun.m_submission->m_oldest;
+    });
+  return !mixed && !old;
+}
+
+void
+Retry(ItemState& aItem, core::Instant aFrom)
+{
+  aItem.m_phase = ItemWaiting{ aFrom };
+}
+
+void
+OnEnding(BatchRun& aRun, size_t aItem, const RunCompleted&, core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  // A text without an event is no text, however its stream ended.
+  if (item.m_events == 0 || !VersionsFit(aRun, item)) {
+    StartOver(item);
+    Retry(item, aNow + kAfterOutdated);
+    return;
+  }
+  if (aRun.m_submission->m_items[aItem].m_reward) {
+    item.m_phase = ItemUnscored{ aNow };
+    return;
+  }
+  Complete(aRun, aItem, "", aNow);
+}
+
+void
+OnEnding(BatchRun& aRun, size_t aItem, const RunBroken&, core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  // A text of one version cannot go on at an engine with another.
+  if (aRun.m_policy.m_singleVersion || !VersionsFit(aRun, item)) {
+    StartOver(item);
+  }
+  Retry(item, aNow + kAfterRefusal);
+}
+
+void
+OnEnding(BatchRun& aRun, size_t aItem, const RunRefused&, core::Instant aNow)
+{
+  Retry(aRun.m_items[aItem], aNow + kAfterRefusal);
+}
+
+void
+OnEnding(BatchRun& aRun, size_t aItem, const RunFailed&, core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  item.m_failedRuns += 1;
+  if (item.m_failedRuns >= aRun.m_policy.m_attempts) {
+    Decide(aRun, aItem, Lost{}, aNow);
+    return;
+  }
+  Retry(item, aNow + kAfterFailure);
+}
+
+void
+OnEnding(BatchRun& aRun, size_t aItem, const RunImpossible&, core::Instant aNow)
+{
+  Decide(aRun, aItem, Lost{}, aNow);
+}
+
+void
+OnEnding(BatchRun& aRun, size_t aItem, const RunOutdated&, core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  StartOver(item);
+  Retry(item, aNow + kAfterOutdated);
+}
+
+/// Items of groups with long texts first, each group together.
+std::vector<size_t>
+OrderOf(const Submission& aSubmission)
+{
+  std::map<std::string_view, uint32_t> longest;
+  for (const BatchItem& item : aSubmission.m_items) {
+    uint32_t& tokens = longest[item.m_group];
+    tokens = std::max(tokens, item.m_expectedTokens);
+  }
+  std::vector<size_t> order(aSubmission.m_items.size());
+  for (size_t i = 0; i < order.size(); ++i) {
+    order[i] = i;
+  }
+  std::ranges::stable_sort(order, std::ranges::greater(), [&](size_t aIndex) {
+    return longest[aSubmission.m_items[aIndex].m_group];
+  });
+  return order;
+}
+
+size_t
+SizeOf(const ItemResult& aResult)
+{
+  const auto* completed = std::get_if<Completed>(&aResult.m_outcome);
+  return completed == nullptr ? 0 : completed->m_text.size();
+}
+
+bool
+AllDecided(const BatchRun& aRun)
+{
+  return std::ranges::all_of(aRun.m_items, [](const ItemState& aItem) {
+    return std::holds_alternative<ItemDone>(aItem.m_phase);
+  });
+}
+
+} // namespace
+
+BatchRun
+MakeRun(std::shared_ptr<const Submission> aSubmission, BatchPolicy aPolicy)
+{
+  BatchRun run;
+  run.m_policy = aPolicy;
+  run.m_items.resize(aSubmission->m_items.size());
+  for (size_t i = 0; i < aSubmission->m_items.size(); ++i) {
+    run.m_indexes.emplace(aSubmission->m_items[i].m_id.m_value, i);
+  }
+  run.m_order = OrderOf(*aSubmission);
+  run.m_submission = std::move(aSubmission);
+  return run;
+}
+
+void
+AdoptChunk(BatchRun& aRun, ResultChunk aChunk)
+{
+  for (ItemResult& result : aChunk.m_results) {
+    const auto index = aRun.m_indexes.find(result.m_item.m_value);
+    if (index != aRun.m_indexes.end()) {
+      aRun.m_items[index->second].m_phase = ItemDone{};
+    }
+    aRun.m_listed.push_back(std::move(result));
+  }
+  aRun.m_nextChunk = aChunk.m_number + 1;
+}
+
+std::optional<size_t>
+NextToRun(const BatchRun& aRun, core::Instant aNow)
+{
+  if (aRun.m_ended) {
+    return std::nullopt;
+  }
+  for (const size_t index : aRun.m_order) {
+    const auto* waiting =
+      std::get_if<ItemWaiting>(&aRun.m_items[index].m_phase);
+    if (waiting != nullptr && waiting->m_from <= aNow) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+uint64_t
+StartRun(BatchRun& aRun, size_t aItem, const core::UpstreamId& aEngine)
+{
+  aRun.m_runs += 1;
+  ItemState& item = aRun.m_items[aItem];
+  item.m_phase = ItemRunning{ aRun.m_runs };
+  item.m_lastEngine = aEngine;
+  aRun.m_groupEngines[aRun.m_submission->m_items[aItem].m_group] = aEngine;
+  return aRun.m_runs;
+}
+
+void
+EndRun(BatchRun& aRun,
+       size_t aItem,
+       uint64_t aNumber,
+       RunReport aReport,
+       core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  const auto* running = std::get_if<ItemRunning>(&item.m_phase);
+  if (running == nullptr || running->m_run != aNumber || aRun.m_ended) {
+    return;
+  }
+  Append(item, aReport);
+  std::visit(
+    [&](const auto& aEnding) { OnEnding(aRun, aItem, aEnding, aNow); },
+    aReport.m_ending);
+}
+
+std::optional<size_t>
+NextToScore(const BatchRun& aRun, core::Instant aNow)
+{
+  if (aRun.m_ended) {
+    return std::nullopt;
+  }
+  for (const size_t index : aRun.m_order) {
+    const auto* unscored =
+      std::get_if<ItemUnscored>(&aRun.m_items[index].m_phase);
+    if (unscored != nullptr && unscored->m_from <= aNow) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+uint64_t
+StartScore(BatchRun& aRun, size_t aItem)
+{
+  aRun.m_runs += 1;
+  aRun.m_items[aItem].m_phase = ItemScoring{ aRun.m_runs };
+  return aRun.m_runs;
+}
+
+void
+EndScore(BatchRun& aRun,
+         size_t aItem,
+         uint64_t aNumber,
+         const ScoreEnding& aEnding,
+         core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  const auto* scoring = std::get_if<ItemScoring>(&item.m_phase);
+  if (scoring == nullptr || scoring->m_run != aNumber || aRun.m_ended) {
+    return;
+  }
+  std::visit(core::Overloaded{
+               [&](const Scored& aScored) {
+                 Complete(aRun, aItem, aScored.m_proof, aNow);
+               },
+               [&](const ScoreFailed&) {
+                 item.m_failedScores += 1;
+                 if (item.m_failedScores >= aRun.m_policy.m_attempts) {
+                   Decide(aRun, aItem, Lost{}, aNow);
+                   return;
+                 }
+                 item.m_phase = ItemUnscored{ aNow + kAfterFailure };
+               },
+               [&](const ScoreUnavailable&) {
+                 item.m_phase = ItemUnscored{ aNow + kAfterNoScore };
+               } },
+             aEnding);
+}
+
+void
+GiveUpLate(BatchRun& aRun, core::Instant aNow)
+{
+  if (aNow < aRun.m_policy.m_giveUpAt || aRun.m_ended) {
+    return;
+  }
+  for (size_t i = 0; i < aRun.m_items.size(); ++i) {
+    if (!std::holds_alternative<ItemDone>(aRun.m_items[i].m_phase)) {
+      Decide(aRun, i, Lost{}, aNow);
+    }
+  }
+}
+
+std::optional<ResultChunk>
+NextChunk(BatchRun& aRun, core::Instant aNow)
+{
+  const bool due =
+    !aRun.m_ready.empty() &&
+    (aRun.m_storeFrom <= aNow || AllDecided(aRun));
+  if (aRun.m_writing || !due || aRun.m_ended) {
+    return std::nullopt;
+  }
+  ResultChunk chunk;
+  chunk.m_number = aRun.m_nextChunk;
+  size_t bytes = 0;
+  size_t count = 0;
+  for (const ItemResult& result : aRun.m_ready) {
+    bytes += SizeOf(result);
+    if (count > 0 && (bytes > kMaxChunkBytes || count >= kMaxChunkResults)) {
+      break;
+    }
+    count += 1;
+  }
+  const auto end = aRun.m_ready.begin() + static_cast<std::ptrdiff_t>(count);
+  chunk.m_results.assign(aRun.m_ready.begin(), end);
+  aRun.m_ready.erase(aRun.m_ready.begin(), end);
+  aRun.m_storeFrom = aNow + aRun.m_policy.m_gather;
+  aRun.m_writing = chunk;
+  return chunk;
+}
+
+void
+ChunkStored(BatchRun& aRun)
+{
+  if (!aRun.m_writing) {
+    return;
+  }
+  ResultChunk chunk = *std::move(aRun.m_writing);
+  aRun.m_writing.reset();
+  AdoptChunk(aRun, std::move(chunk));
+}
+
+void
+ChunkTaken(BatchRun& aRun, ResultChunk aFound, core::Instant aNow)
+{
+  if (!aRun.m_writing) {
+    return;
+  }
+  ResultChunk own = *std::move(aRun.m_writing);
+  aRun.m_writing.reset();
+  // The other owner's results hold; ours are kept for items that it has not
+  // listed.
+  std::set<std::string, std::less<>> found;
+  for (const ItemResult& result : aFound.m_results) {
+    found.insert(result.m_item.m_value);
+  }
+  AdoptChunk(aRun, std::move(aFound));
+  aRun.m_ready.insert(
+    aRun.m_ready.begin(), own.m_results.begin(), own.m_results.end());
+  std::erase_if(aRun.m_ready, [&found](const ItemResult& aResult) {
+    return found.contains(aResult.m_item.m_value);
+  });
+  aRun.m_storeFrom = aNow;
+}
+
+void
+EndBatch(BatchRun& aRun)
+{
+  aRun.m_ended = true;
+}
+
+bool
+IsComplete(const BatchRun& aRun)
+{
+  return aRun.m_listed.size() >= aRun.m_items.size();
+}
+
+core::Instant
+NextDeadline(const BatchRun& aRun, core::Instant aNow)
+{
+  if (aRun.m_ended || IsComplete(aRun)) {
+    return core::Instant::max();
+  }
+  core::Instant next = aRun.m_policy.m_giveUpAt;
+  if (!aRun.m_ready.empty() && !aRun.m_writing) {
+    next = std::min(next, aRun.m_storeFrom);
+  }
+  for (const ItemState& item : aRun.m_items) {
+    const core::Instant from = std::visit(
+      core::Overloaded{
+        [](const ItemWaiting& aPhase) { return aPhase.m_from; },
+        [](const ItemUnscored& aPhase) { return aPhase.m_from; },
+        [](const auto&) { return core::Instant::max(); } },
+      item.m_phase);
+    // What could have started by now waits for an engine, not for the time.
+    if (from > aNow) {
+      next = std::min(next, from);
+    }
+  }
+  return next;
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/accepting.cpp
@@ -0,0 +1,146 @@
+#include "batches/batches.h"
+
+#include "batches/internal/batchjson.h"
+#include "batches/internal/objectnames.h"
+#include "core/overloaded.h"
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+// Within it a write whose answer was lost has come or is refused.
+constexpr core::Duration kDecideTime = std::chrono::seconds(3);
+
+std::string_view
+NameOf(const SubmitOutcome& aOutcome)
+{
+  return std::visit(
+    core::Overloaded{
+      [](const Accepted&) { return std::string_view("accepted"); },
+      [](const NotAccepted&) { return std::string_view("not-accepted"); },
+      [](const AcceptanceUnknown&) { return std::string_view("unknown"); } },
+    aOutcome);
+}
+
+} // namespace
+
+void
+Batches::Submit(Submission aSubmission, SubmitCallback aDone)
+{
+  const std::string id = aSubmission.m_id.m_value;
+  if (m_placements.contains(id)) {
+    aDone(Accepted{});
+    return;
+  }
+  std::vector<SubmitCallback>& waiting = m_submits[id];
+  waiting.push_back(std::move(aDone));
+  if (waiting.size() > 1) {
+    return;
+  }
+  StoreItems(std::make_shared<const Submission>(std::move(aSubmission)));
+}
+
+void
+Batches::Announce(const BatchId& aBatch, const SubmitOutcome& aOutcome)
+{
+  const auto found = m_submits.find(aBatch.m_value);
+  if (found == m_submits.end()) {
+    return;
+  }
+  const std::vector<SubmitCallback> waiting = std::move(found->second);
+  m_submits.erase(found);
+  const auto* refused = std::get_if<NotAccepted>(&aOutcome);
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "batches",
+    "submission",
+    { { "batch", aBatch.m_value },
+      { "outcome", NameOf(aOutcome) },
+      { "reason",
+        refused == nullptr ? "" : core::Describe(refused->m_failure) } });
+  for (const SubmitCallback& done : waiting) {
+    done(aOutcome);
+  }
+}
+
+void
+Batches::StoreItems(std::shared_ptr<const Submission> aSubmission)
+{
+  m_store->Write(
+    { std::string(kItemsKind), aSubmission->m_id.m_value },
+    0,
+    ToJson(*aSubmission),
+    objectstore::CallPriority::Lease,
+    [self = shared_from_this(),
+     aSubmission](const absl::StatusOr<uint64_t>& aVersion) {
+      // Items alone are no batch: it begins with its placement.
+      if (aVersion.ok() || absl::IsAborted(aVersion.status())) {
+        self->StorePlacement(aSubmission, kernel::Now() + kDecideTime);
+        return;
+      }
+      self->Announce(aSubmission->m_id,
+                     NotAccepted{ http::FailureOf(aVersion.status()) });
+    });
+}
+
+void
+Batches::StorePlacement(std::shared_ptr<const Submission> aSubmission,
+                        core::Instant aDeadline)
+{
+  Placement placement;
+  placement.m_batch = aSubmission->m_id;
+  placement.m_owner = m_context.Self().m_host;
+  placement.m_acceptedAt = aSubmission->m_acceptedAt;
+  m_store->Write(
+    { std::string(kPlacementKind), aSubmission->m_id.m_value },
+    0,
+    ToJson(placement),
+    objectstore::CallPriority::Lease,
+    [self = shared_from_this(), aSubmission, aDeadline](
+      const absl::StatusOr<uint64_t>& aVersion) {
+      if (aVersion.ok()) {
+        self->Adopt(aSubmission, *aVersion);
+        return;
+      }
+      if (absl::IsAborted(aVersion.status())) {
+        // It stands already, by an earlier try or another host.
+        self->Fetch(aSubmission->m_id, [](const absl::StatusOr<Placement>&) {});
+        self->Announce(aSubmission->m_id, Accepted{});
+        return;
+      }
+      const core::Failure failure = http::FailureOf(aVersion.status());
+      if (core::ExecutedOf(failure) == core::Executed::No) {
+        self->Announce(aSubmission->m_id, NotAccepted{ failure });
+        return;
+      }
+      if (kernel::Now() < aDeadline) {
+        self->StorePlacement(aSubmission, aDeadline);
+        return;
+      }
+      self->Announce(aSubmission->m_id, AcceptanceUnknown{});
+    });
+}
+
+void
+Batches::Adopt(std::shared_ptr<const Submission> aSubmission, uint64_t aVersion)
+{
+  const std::string& id = aSubmission->m_id.m_value;
+  auto owned = std::make_shared<OwnedBatch>();
+  owned->m_id = aSubmission->m_id;
+  owned->m_run = MakeRun(aSubmission, PolicyOf(*aSubmission));
+  const bool inserted = m_owned.emplace(id, owned).second;
+  Placement placement;
+  placement.m_batch = aSubmission->m_id;
+  placement.m_owner = m_context.Self().m_host;
+  placement.m_acceptedAt = aSubmission->m_acceptedAt;
+  placement.m_version = aVersion;
+  Learn(std::move(placement));
+  if (inserted && IsOwned(owned)) {
+    Activate(owned, aSubmission);
+  }
+  Announce(aSubmission->m_id, Accepted{});
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/batchjson.cpp
@@ -0,0 +1,232 @@
+#include "batches/internal/batchjson.h"
+
+#include "absl/strings/escaping.h"
+#include "boost/json/serialize.hpp"
+
+#include "core/overloaded.h"
+#include "kernel/json.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr kernel::Range kNumbers{ 0, INT64_MAX };
+
+std::string
+Bytes(kernel::SettingsReader& aReader, std::string_view aName)
+{
+  std::string bytes;
+  const std::string text = aReader.TextOr(aName, "");
+  if (!absl::Base64Unescape(text, &bytes)) {
+    aReader.Errors().m_errors.push_back(
+      { aReader.PathOf(aName), "(text)", "base64" });
+  }
+  return bytes;
+}
+
+json::value
+ToValue(const RewardCall& aReward)
+{
+  return { { "id", aReward.m_id },
+           { "host", aReward.m_host },
+           { "path", aReward.m_path },
+           { "body", absl::Base64Escape(aReward.m_body) } };
+}
+
+json::value
+ToValue(const BatchItem& aItem)
+{
+  json::array headers;
+  for (const ItemHeader& header : aItem.m_headers) {
+    headers.push_back(
+      { { "name", header.m_name }, { "value", header.m_value } });
+  }
+  json::object item{ { "id", aItem.m_id.m_value },
+                     { "path", aItem.m_path },
+                     { "headers", std::move(headers) },
+                     { "body", absl::Base64Escape(aItem.m_body) },
+                     { "group", aItem.m_group },
+                     { "expected_tokens", aItem.m_expectedTokens } };
+  if (aItem.m_reward) {
+    item["reward"] = ToValue(*aItem.m_reward);
+  }
+  return item;
+}
+
+RewardCall
+ParseReward(kernel::SettingsReader& aReader)
+{
+  RewardCall reward;
+  reward.m_id = aReader.Text("id");
+  reward.m_host = aReader.Text("host");
+  reward.m_path = aReader.Text("path");
+  reward.m_body = Bytes(aReader, "body");
+  return reward;
+}
+
+BatchItem
+ParseItem(kernel::SettingsReader& aReader)
+{
+  BatchItem item;
+  item.m_id.m_value = aReader.Text("id");
+  item.m_path = aReader.Text("path");
+  aReader.ForEach(
+    "headers", [&](const json::value& aValue, std::string_view aPath) {
+      kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+      item.m_headers.push_back({ element.Text("name"), element.Text("value") });
+    });
+  item.m_body = Bytes(aReader, "body");
+  item.m_group = aReader.TextOr("group", "");
+  item.m_expectedTokens = static_cast<uint32_t>(
+    aReader.IntegerOr("expected_tokens", { 0, UINT32_MAX }, 0));
+  if (const json::value* reward = aReader.Optional("reward")) {
+    kernel::SettingsReader element(
+      *reward, aReader.PathOf("reward"), aReader.Errors());
+    item.m_reward = ParseReward(element);
+  }
+  return item;
+}
+
+json::value
+ToValue(const ItemResult& aResult)
+{
+  json::object result{ { "item", aResult.m_item.m_value } };
+  std::visit(core::Overloaded{
+               [&result](const Completed& aCompleted) {
+                 json::array versions;
+                 for (const core::WeightVersion version :
+                      aCompleted.m_versions) {
+                   versions.push_back(version.m_number);
+                 }
+                 result["text"] = aCompleted.m_text;
+                 result["versions"] = std::move(versions);
+                 result["score"] = aCompleted.m_score;
+               },
+               [&result](const Lost&) { result["lost"] = true; } },
+             aResult.m_outcome);
+  return result;
+}
+
+ItemResult
+ParseResult(kernel::SettingsReader& aReader)
+{
+  ItemResult result;
+  result.m_item.m_value = aReader.Text("item");
+  if (aReader.FlagOr("lost", false)) {
+    result.m_outcome = Lost{};
+    return result;
+  }
+  Completed completed;
+  completed.m_text = aReader.Text("text");
+  completed.m_score = aReader.TextOr("score", "");
+  aReader.ForEach(
+    "versions", [&](const json::value& aValue, std::string_view aPath) {
+      if (!aValue.is_int64() && !aValue.is_uint64()) {
+        aReader.Errors().m_errors.push_back(
+          { std::string(aPath), "(value)", "a version" });
+        return;
+      }
+      completed.m_versions.push_back({ aValue.to_number<uint64_t>() });
+    });
+  result.m_outcome = std::move(completed);
+  return result;
+}
+
+} // namespace
+
+std::string
+ToJson(const Submission& aSubmission)
+{
+  json::array items;
+  for (const BatchItem& item : aSubmission.m_items) {
+    items.push_back(ToValue(item));
+  }
+  const json::value value{ { "id", aSubmission.m_id.m_value },
+                           { "host", aSubmission.m_host },
+                           { "path", aSubmission.m_path },
+                           { "weights", aSubmission.m_weights },
+                           { "oldest", aSubmission.m_oldest.m_number },
+                           { "wanted_groups", aSubmission.m_wantedGroups },
+                           { "accepted_at", aSubmission.m_acceptedAt },
+                           { "items", std::move(items) } };
+  return json::serialize(value);
+}
+
+absl::StatusOr<Submission>
+ParseSubmission(std::string_view aText)
+{
+  return kernel::ParseMessage<Submission>(
+    aText, "batch", [](kernel::SettingsReader& aReader) {
+      Submission submission;
+      submission.m_id.m_value = aReader.Text("id");
+      submission.m_host = aReader.Text("host");
+      submission.m_path = aReader.Text("path");
+      submission.m_weights = aReader.TextOr("weights", "");
+      submission.m_oldest.m_number =
+        static_cast<uint64_t>(aReader.IntegerOr("oldest", kNumbers, 0));
+      submission.m_wantedGroups = static_cast<uint32_t>(
+        aReader.IntegerOr("wanted_groups", { 0, UINT32_MAX }, 0));
+      submission.m_acceptedAt = aReader.Integer("accepted_at", kNumbers);
+      aReader.ForEach(
+        "items", [&](const json::value& aValue, std::string_view aPath) {
+          kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+          submission.m_items.push_back(ParseItem(element));
+        });
+      return submission;
+    });
+}
+
+std::string
+ToJson(const ResultChunk& aChunk)
+{
+  json::array results;
+  for (const ItemResult& result : aChunk.m_results) {
+    results.push_back(ToValue(result));
+  }
+  const json::value value{ { "number", aChunk.m_number },
+                           { "results", std::move(results) } };
+  return json::serialize(value);
+}
+
+absl::StatusOr<ResultChunk>
+ParseChunk(std::string_view aText)
+{
+  return kernel::ParseMessage<ResultChunk>(
+    aText, "results", [](kernel::SettingsReader& aReader) {
+      ResultChunk chunk;
+      chunk.m_number =
+        static_cast<uint64_t>(aReader.Integer("number", kNumbers));
+      aReader.ForEach(
+        "results", [&](const json::value& aValue, std::string_view aPath) {
+          kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+          chunk.m_results.push_back(ParseResult(element));
+        });
+      return chunk;
+    });
+}
+
+std::string
+ToJson(const Placement& aPlacement)
+{
+  const json::value value{ { "owner", aPlacement.m_owner },
+                           { "ended", aPlacement.m_ended },
+                           { "accepted_at", aPlacement.m_acceptedAt } };
+  return json::serialize(value);
+}
+
+absl::StatusOr<Placement>
+ParsePlacement(std::string_view aText)
+{
+  return kernel::ParseMessage<Placement>(
+    aText, "placement", [](kernel::SettingsReader& aReader) {
+      Placement placement;
+      placement.m_owner = aReader.TextOr("owner", "");
+      placement.m_ended = aReader.FlagOr("ended", false);
+      placement.m_acceptedAt = aReader.Integer("accepted_at", kNumbers);
+      return placement;
+    });
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/itemrun.cpp
@@ -0,0 +1,189 @@
+#include "batches/internal/itemrun.h"
+
+#include "http/exchange.h"
+#include "kernel/controlthread.h"
+#include "kernel/eventlog.h"
+#include "relay/eventstream.h"
+#include "relay/upstreamcodec.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kUnprocessable = 422;
+// A request may wait in the engine's queue behind others.
+constexpr core::Duration kFirstEventTime = std::chrono::seconds(5);
+// Longer than a change of weights holds a stream up.
+constexpr core::Duration kProgressTime = std::chrono::milliseconds(3500);
+
+void
+LogEnd(const ItemRunTask& aTask,
+       std::string_view aOutcome,
+       std::string_view aDetail,
+       const RunReport& aReport)
+{
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "batches",
+                   "run-ended",
+                   { { "item", aTask.m_itemId },
+                     { "engine", aTask.m_ticket->Chosen().m_id.m_value },
+                     { "outcome", aOutcome },
+                     { "detail", aDetail },
+                     { "resumed_after", aTask.m_resumeAfter },
+                     { "last_event", aReport.m_lastEvent } });
+}
+
+RunEnding
+EndingOf(uint32_t aStatus)
+{
+  if (aStatus == kUnprocessable) {
+    return RunImpossible{};
+  }
+  return RunFailed{};
+}
+
+/// Follows the versions and the ids of a stream.
+class TextCollector
+{
+public:
+  TextCollector(const ItemRunTask& aTask, core::WeightVersion aVersion)
+    : m_reader(relay::CodecInUse().m_versionField)
+    , m_next(aTask.m_resumeAfter + 1)
+    , m_oldest(aTask.m_oldest)
+    , m_version(aVersion)
+  {
+  }
+
+  /// False if the stream cannot be used any further.
+  bool Take(std::string_view aPart, RunReport& aReport)
+  {
+    for (relay::StreamEvent& event : m_reader.Feed(aPart)) {
+      if (!TakeEvent(event, aReport)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+private:
+  bool TakeEvent(relay::StreamEvent& aEvent, RunReport& aReport)
+  {
+    if (aEvent.m_version) {
+      m_version = *aEvent.m_version;
+    }
+    if (m_version < m_oldest) {
+      aReport.m_ending = RunOutdated{};
+      return false;
+    }
+    if (aEvent.m_id != m_next) {
+      aReport.m_ending = RunBroken{};
+      return false;
+    }
+    if (aReport.m_lastEvent != 0) {
+      aReport.m_text += '\n';
+    }
+    aReport.m_text += aEvent.m_data;
+    aReport.m_lastEvent = aEvent.m_id;
+    m_next += 1;
+    if (aReport.m_versions.empty() || aReport.m_versions.back() != m_version) {
+      aReport.m_versions.push_back(m_version);
+    }
+    return true;
+  }
+
+  relay::EventStreamReader m_reader;
+  uint64_t m_next;
+  core::WeightVersion m_oldest;
+  core::WeightVersion m_version;
+};
+
+asio::awaitable<void>
+ReadText(http::AnswerStream& aStream,
+         const ItemRunTask& aTask,
+         core::WeightVersion aVersion,
+         RunReport& aReport)
+{
+  TextCollector text(aTask, aVersion);
+  core::Duration patience = kFirstEventTime;
+  while (!aStream.HasEnded()) {
+    const core::Instant limit =
+      std::min(aTask.m_deadline, kernel::Now() + patience);
+    const absl::StatusOr<std::string_view> part = co_await aStream.Read(limit);
+    if (!part.ok()) {
+      aReport.m_ending = RunBroken{};
+      LogEnd(aTask, "broken", http::DescribeStatus(part.status()), aReport);
+      co_return;
+    }
+    patience = kProgressTime;
+    if (!text.Take(*part, aReport)) {
+      aStream.Abandon();
+      LogEnd(aTask, "unusable", "order or version of its events", aReport);
+      co_return;
+    }
+  }
+  aReport.m_ending = RunCompleted{};
+}
+
+} // namespace
+
+asio::awaitable<RunReport>
+RunItem(http::Client& aClient, ItemRunTask aTask)
+{
+  RunReport report;
+  const routing::Upstream& engine = aTask.m_ticket->Chosen();
+  relay::Sending sending;
+  sending.m_requestId = aTask.m_itemId;
+  sending.m_upstream = engine.m_id;
+  sending.m_timeLeft = aTask.m_deadline - kernel::Now();
+  if (aTask.m_resumeAfter > 0) {
+    sending.m_resumeAfter = aTask.m_resumeAfter;
+  }
+  relay::CodecInUse().m_stamp(aTask.m_request, sending);
+  const core::Instant limit =
+    std::min(aTask.m_deadline, kernel::Now() + kFirstEventTime);
+  auto opened = co_await aClient.Open(engine.m_endpoint,
+                                      aTask.m_request,
+                                      http::Reuse::Allowed,
+                                      limit,
+                                      aTask.m_abort);
+  if (!opened.ok()) {
+    report.m_ending = RunBroken{};
+    aTask.m_ticket->Failed(kernel::Now());
+    LogEnd(aTask, "broken", http::DescribeStatus(opened.status()), report);
+    co_return report;
+  }
+  const std::unique_ptr<http::AnswerStream> stream = *std::move(opened);
+  const relay::Reception reception =
+    relay::CodecInUse().m_receive(stream->Head(), aTask.m_itemId);
+  if (!std::holds_alternative<relay::Served>(reception.m_verdict)) {
+    const bool foreign =
+      std::holds_alternative<relay::ForeignAnswer>(reception.m_verdict);
+    report.m_ending = RunRefused{};
+    if (foreign) {
+      report.m_ending = RunBroken{};
+      stream->Abandon();
+    }
+    LogEnd(aTask,
+           foreign ? "foreign" : "refused",
+           std::to_string(stream->Head().m_status),
+           report);
+    co_return report;
+  }
+  if (stream->Head().m_status != kOk) {
+    report.m_ending = EndingOf(stream->Head().m_status);
+    LogEnd(aTask, "failed", std::to_string(stream->Head().m_status), report);
+    co_return report;
+  }
+  const core::WeightVersion version =
+    reception.m_version.value_or(core::WeightVersion{});
+  co_await ReadText(*stream, aTask, version, report);
+  if (std::holds_alternative<RunCompleted>(report.m_ending)) {
+    aTask.m_ticket->Succeeded();
+  }
+  co_return report;
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/loading.cpp
@@ -0,0 +1,105 @@
+#include "batches/batches.h"
+
+#include "batches/internal/batchjson.h"
+#include "batches/internal/objectnames.h"
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+constexpr core::Duration kRetryAfter = std::chrono::milliseconds(300);
+
+} // namespace
+
+void
+Batches::LoadLater(const OwnedPtr& aOwned)
+{
+  auto timer = std::make_shared<std::unique_ptr<kernel::DeadlineTimer>>();
+  *timer = std::make_unique<kernel::DeadlineTimer>(
+    m_context.Control(), [self = shared_from_this(), aOwned, timer] {
+      const auto keep = std::move(*timer);
+      if (self->IsOwned(aOwned)) {
+        self->Load(aOwned);
+      }
+    });
+  (*timer)->Set(kernel::Now() + kRetryAfter);
+}
+
+void
+Batches::Load(const OwnedPtr& aOwned)
+{
+  m_store->Read(
+    { std::string(kItemsKind), aOwned->m_id.m_value },
+    objectstore::CallPriority::Configuration,
+    [self = shared_from_this(),
+     aOwned](absl::StatusOr<objectstore::StoredObject> aObject) {
+      if (!self->IsOwned(aOwned)) {
+        return;
+      }
+      absl::StatusOr<Submission> submission =
+        aObject.ok() ? ParseSubmission(aObject->m_value) : aObject.status();
+      if (!submission.ok()) {
+        kernel::LogEvent(
+          kernel::LogLevel::Warning,
+          "batches",
+          "load-failed",
+          { { "batch", aOwned->m_id.m_value },
+            { "reason", http::DescribeStatus(submission.status()) } });
+        self->LoadLater(aOwned);
+        return;
+      }
+      auto kept = std::make_shared<const Submission>(*std::move(submission));
+      aOwned->m_run = MakeRun(kept, self->PolicyOf(*kept));
+      self->LoadChunk(aOwned, 0);
+    });
+}
+
+void
+Batches::LoadChunk(const OwnedPtr& aOwned, uint64_t aNumber)
+{
+  m_store->Read(
+    { std::string(kResultsKind), ChunkName(aOwned->m_id.m_value, aNumber) },
+    objectstore::CallPriority::Configuration,
+    [self = shared_from_this(), aOwned, aNumber](
+      absl::StatusOr<objectstore::StoredObject> aObject) {
+      if (!self->IsOwned(aOwned)) {
+        return;
+      }
+      if (aObject.ok() && aObject->m_version == 0) {
+        self->Activate(aOwned, aOwned->m_run.m_submission);
+        return;
+      }
+      absl::StatusOr<ResultChunk> chunk =
+        aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
+      if (!chunk.ok()) {
+        self->LoadLater(aOwned);
+        return;
+      }
+      AdoptChunk(aOwned->m_run, *std::move(chunk));
+      self->LoadChunk(aOwned, aNumber + 1);
+    });
+}
+
+void
+Batches::Activate(const OwnedPtr& aOwned,
+                  std::shared_ptr<const Submission> aSubmission)
+{
+  aOwned->m_loaded = true;
+  const auto placement = m_placements.find(aOwned->m_id.m_value);
+  if (placement != m_placements.end() && placement->second.m_ended) {
+    EndBatch(aOwned->m_run);
+  }
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "batches",
+                   "batch-active",
+                   { { "batch", aOwned->m_id.m_value },
+                     { "items", aSubmission->m_items.size() },
+                     { "listed", aOwned->m_run.m_listed.size() },
+                     { "ended", aOwned->m_run.m_ended },
+                     { "oldest_version", aSubmission->m_oldest.m_number } });
+  Pump();
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/placement.cpp
@@ -0,0 +1,281 @@
+#include "batches/batches.h"
+
+#include "batches/internal/batchjson.h"
+#include "batches/internal/objectnames.h"
+#include "batches/ownership.h"
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+#include "objectstore/hosts.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+// Before it has heard the others a host believes nobody gone.
+constexpr core::Duration kAcquaintanceTime = std::chrono::seconds(4);
+
+int64_t
+UnixMilliseconds()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+absl::StatusOr<Placement>
+PlacementOf(const objectstore::StoredObject& aObject)
+{
+  absl::StatusOr<Placement> placement = ParsePlacement(aObject.m_value);
+  if (placement.ok()) {
+    placement->m_batch.m_value = aObject.m_key.m_name;
+    placement->m_version = aObject.m_version;
+  }
+  return placement;
+}
+
+} // namespace
+
+void
+Batches::LearnPlacements(std::span<const objectstore::StoredObject> aObjects)
+{
+  for (const objectstore::StoredObject& object : aObjects) {
+    absl::StatusOr<Placement> placement = PlacementOf(object);
+    if (!placement.ok()) {
+      m_context.Metrics().Get("batches.invalid_placement").Add();
+      continue;
+    }
+    Learn(*std::move(placement));
+  }
+  Pump();
+}
+
+void
+Batches::Learn(Placement aPlacement)
+{
+  const std::string id = aPlacement.m_batch.m_value;
+  const auto known = m_placements.find(id);
+  if (known != m_placements.end() &&
+      known->second.m_version >= aPlacement.m_version) {
+    return;
+  }
+  m_placements.insert_or_assign(id, aPlacement);
+  const bool own = aPlacement.m_owner == m_context.Self().m_host;
+  const auto owned = m_owned.find(id);
+  if (!own && owned != m_owned.end()) {
+    kernel::LogEvent(kernel::LogLevel::Info,
+                     "batches",
+                     "batch-lost-to",
+                     { { "batch", id },
+                       { "owner", aPlacement.m_owner },
+                       { "placement_version", aPlacement.m_version } });
+    Drop(id);
+    return;
+  }
+  if (own && owned == m_owned.end()) {
+    kernel::LogEvent(kernel::LogLevel::Info,
+                     "batches",
+                     "batch-taken",
+                     { { "batch", id },
+                       { "ended", aPlacement.m_ended },
+                       { "placement_version", aPlacement.m_version } });
+    auto taken = std::make_shared<OwnedBatch>();
+    taken->m_id = aPlacement.m_batch;
+    m_owned.emplace(id, taken);
+    Load(taken);
+    return;
+  }
+  if (own && aPlacement.m_ended && owned->second->m_loaded) {
+    EndBatch(owned->second->m_run);
+    AbortWork(*owned->second);
+  }
+}
+
+void
+Batches::Drop(const std::string& aBatch)
+{
+  const auto found = m_owned.find(aBatch);
+  if (found == m_owned.end()) {
+    return;
+  }
+  const OwnedPtr owned = found->second;
+  m_owned.erase(found);
+  AbortWork(*owned);
+  for (const Waiter& waiter : owned->m_waiters) {
+    waiter.m_done(CannotTell{ "the batch has moved" });
+  }
+}
+
+void
+Batches::Store(Placement aPlacement,
+               std::function<void(absl::StatusOr<uint64_t>)> aDone)
+{
+  objectstore::ObjectKey key{ std::string(kPlacementKind),
+                              aPlacement.m_batch.m_value };
+  m_store->Write(std::move(key),
+                 aPlacement.m_version,
+                 ToJson(aPlacement),
+                 objectstore::CallPriority::Lease,
+                 [self = shared_from_this(), aPlacement, aDone](
+                   absl::StatusOr<uint64_t> aVersion) {
+                   if (aVersion.ok()) {
+                     Placement stored = aPlacement;
+                     stored.m_version = *aVersion;
+                     self->Learn(std::move(stored));
+                   }
+                   aDone(std::move(aVersion));
+                 });
+}
+
+void
+Batches::Fetch(const BatchId& aBatch,
+               std::function<void(absl::StatusOr<Placement>)> aDone)
+{
+  m_store->Read({ std::string(kPlacementKind), aBatch.m_value },
+                objectstore::CallPriority::Lease,
+                [self = shared_from_this(), aBatch, aDone](
+                  absl::StatusOr<objectstore::StoredObject> aObject) {
+                  if (!aObject.ok()) {
+                    aDone(aObject.status());
+                    return;
+                  }
+                  if (aObject->m_version == 0) {
+                    aDone(core::ToStatus(core::NotFound{ aBatch.m_value }));
+                    return;
+                  }
+                  absl::StatusOr<Placement> placement = PlacementOf(*aObject);
+                  if (placement.ok()) {
+                    self->Learn(*placement);
+                  }
+                  aDone(std::move(placement));
+                });
+}
+
+bool
+Batches::IsOrphan(const Placement& aPlacement) const
+{
+  const std::string& owner = aPlacement.m_owner;
+  if (owner == m_context.Self().m_host) {
+    return false;
+  }
+  const bool acquainted = kernel::Now() - m_startedAt > kAcquaintanceTime;
+  return owner.empty() || (acquainted && !m_gossip->IsHeard(owner));
+}
+
+bool
+Batches::IsNextOwner(const BatchId& aBatch) const
+{
+  std::vector<std::string> alive;
+  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
+  for (const objectstore::HostEntry& host : *hosts) {
+    if (host.m_service == kHostService && m_gossip->IsAlive(host.m_name)) {
+      alive.push_back(host.m_name);
+    }
+  }
+  const std::vector<std::string> ranked = RankHosts(aBatch.m_value, alive);
+  return !ranked.empty() && ranked.front() == m_context.Self().m_host;
+}
+
+void
+Batches::TakeOver(const Placement& aPlacement)
+{
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "batches",
+                   "takeover",
+                   { { "batch", aPlacement.m_batch.m_value },
+                     { "from", aPlacement.m_owner },
+                     { "placement_version", aPlacement.m_version } });
+  m_context.Metrics().Get("batches.takeovers").Add();
+  Placement taken = aPlacement;
+  taken.m_owner = m_context.Self().m_host;
+  Store(std::move(taken), [self = shared_from_this(), aPlacement](
+                            const absl::StatusOr<uint64_t>& aVersion) {
+    if (!aVersion.ok()) {
+      self->Fetch(aPlacement.m_batch, [](const absl::StatusOr<Placement>&) {});
+    }
+  });
+}
+
+void
+Batches::TakeOverOrphans()
+{
+  if (m_context.Stopping().IsRequested()) {
+    return;
+  }
+  std::vector<Placement> orphans;
+  for (const auto& [id, placement] : m_placements) {
+    const bool wanted = !placement.m_ended && IsOrphan(placement);
+    if (wanted && IsNextOwner(placement.m_batch)) {
+      orphans.push_back(placement);
+    }
+  }
+  for (const Placement& orphan : orphans) {
+    TakeOver(orphan);
+  }
+}
+
+void
+Batches::Expire()
+{
+  const int64_t oldest =
+    UnixMilliseconds() - kernel::Milliseconds(m_settings.m_keep);
+  std::vector<OwnedPtr> expired;
+  for (const auto& [id, owned] : m_owned) {
+    const auto placement = m_placements.find(id);
+    if (owned->m_loaded && placement != m_placements.end() &&
+        placement->second.m_acceptedAt < oldest) {
+      expired.push_back(owned);
+    }
+  }
+  for (const OwnedPtr& owned : expired) {
+    const std::string& id = owned->m_id.m_value;
+    for (uint64_t i = 0; i < owned->m_run.m_nextChunk; ++i) {
+      m_store->Remove({ std::string(kResultsKind), ChunkName(id, i) });
+    }
+    m_store->Remove({ std::string(kItemsKind), id });
+    m_store->Remove({ std::string(kPlacementKind), id });
+    kernel::LogEvent(
+      kernel::LogLevel::Info, "batches", "batch-expired", { { "batch", id } });
+    m_placements.erase(id);
+    Drop(std::string(id));
+  }
+}
+
+void
+Batches::HandOver(std::function<void()> aDone)
+{
+  auto left = std::make_shared<size_t>(1);
+  const auto step = [left, aDone] {
+    *left -= 1;
+    if (*left == 0) {
+      aDone();
+    }
+  };
+  std::vector<Placement> own;
+  for (const auto& [id, owned] : m_owned) {
+    const auto placement = m_placements.find(id);
+    if (placement != m_placements.end()) {
+      own.push_back(placement->second);
+    }
+  }
+  for (Placement& placement : own) {
+    *left += 1;
+    placement.m_owner.clear();
+    Store(std::move(placement),
+          [step](const absl::StatusOr<uint64_t>&) { step(); });
+  }
+  step();
+}
+
+bool
+Batches::HasOpenBatches() const
+{
+  for (const auto& [id, owned] : m_owned) {
+    const bool open = !owned->m_loaded || (!owned->m_run.m_ended &&
+                                           !IsComplete(owned->m_run));
+    if (open) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/running.cpp
@@ -0,0 +1,434 @@
+#include "batches/batches.h"
+
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "boost/asio/post.hpp"
+
+#include "batches/engines.h"
+#include "batches/internal/batchjson.h"
+#include "batches/internal/itemrun.h"
+#include "batches/internal/objectnames.h"
+#include "core/overloaded.h"
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint32_t kFirstSuccess = 200;
+constexpr uint32_t kFirstRedirection = 300;
+constexpr size_t kMaxScoresAtOnce = 32;
+constexpr core::Duration kDefaultGiveUp = std::chrono::seconds(40);
+
+constexpr size_t kMaxPageBytes = 256 * 1024;
+
+/// The listed results from a position on, as many as fit into a page.
+ResultPage
+PageOf(const BatchRun& aRun, size_t aAfter)
+{
+  ResultPage page;
+  page.m_total = aRun.m_items.size();
+  size_t bytes = 0;
+  for (size_t i = aAfter; i < aRun.m_listed.size(); ++i) {
+    const auto* completed = std::get_if<Completed>(&aRun.m_listed[i].m_outcome);
+    bytes += completed == nullptr ? 0 : completed->m_text.size();
+    if (i > aAfter && bytes > kMaxPageBytes) {
+      break;
+    }
+    page.m_results.push_back(aRun.m_listed[i]);
+  }
+  return page;
+}
+
+/// The engines of a pool as they look now.
+std::vector<EngineFacts>
+FactsOf(const routing::Pool& aPool, std::string_view aWeights)
+{
+  std::vector<EngineFacts> facts;
+  const core::Instant now = kernel::Now();
+  for (const routing::Upstream& upstream : aPool.m_upstreams) {
+    const routing::UpstreamMeter& meter = *upstream.m_meter;
+    EngineFacts engine;
+    engine.m_id = upstream.m_id;
+    engine.m_slots = upstream.m_slots;
+    engine.m_outstanding = meter.m_outstanding.load();
+    const core::Instant ejectedUntil{ core::Duration(
+      meter.m_ejectedUntil.load()) };
+    engine.m_usable = !upstream.m_leaving && !meter.m_leaving.load() &&
+                      ejectedUntil <= now;
+    for (const objectstore::ServedWeights& weights : upstream.m_weights) {
+      if (weights.m_name == aWeights) {
+        engine.m_version = weights.m_version;
+      }
+    }
+    facts.push_back(std::move(engine));
+  }
+  return facts;
+}
+
+http::Request
+RequestOf(const Submission& aSubmission, const BatchItem& aItem)
+{
+  http::Request request;
+  request.m_method = "POST";
+  request.m_target = aItem.m_path;
+  request.m_headers.push_back({ "Host", aSubmission.m_host });
+  for (const ItemHeader& header : aItem.m_headers) {
+    request.m_headers.push_back({ header.m_name, header.m_value });
+  }
+  request.m_body = aItem.m_body;
+  return request;
+}
+
+asio::awaitable<void>
+RunAndReport(http::Client& aClient,
+             kernel::Context& aContext,
+             ItemRunTask aTask,
+             std::function<void(RunReport)> aDone)
+{
+  auto report =
+    std::make_shared<RunReport>(co_await RunItem(aClient, std::move(aTask)));
+  aContext.Control().Post([aDone, report] { aDone(std::move(*report)); });
+}
+
+ScoreEnding
+EndingOf(const absl::StatusOr<relay::RoutedAnswer>& aAnswer)
+{
+  if (!aAnswer.ok()) {
+    return ScoreUnavailable{};
+  }
+  const uint32_t status = aAnswer->m_answer.m_head.m_status;
+  if (status >= kFirstSuccess && status < kFirstRedirection) {
+    return Scored{ aAnswer->m_proof };
+  }
+  return ScoreFailed{};
+}
+
+asio::awaitable<void>
+ScoreAndReport(std::shared_ptr<relay::Relay> aRelay,
+               kernel::Context& aContext,
+               size_t aLoop,
+               relay::RoutedCall aCall,
+               std::function<void(ScoreEnding)> aDone)
+{
+  const std::string id = aCall.m_id;
+  const absl::StatusOr<relay::RoutedAnswer> answer =
+    co_await aRelay->Run(aLoop, std::move(aCall));
+  const ScoreEnding ending = EndingOf(answer);
+  if (!std::holds_alternative<Scored>(ending)) {
+    kernel::LogEvent(
+      kernel::LogLevel::Info,
+      "batches",
+      "score-failed",
+      { { "request", id },
+        { "reason",
+          answer.ok() ? std::to_string(answer->m_answer.m_head.m_status)
+                      : http::DescribeStatus(answer.status()) } });
+  }
+  aContext.Control().Post([aDone, ending] { aDone(ending); });
+}
+
+} // namespace
+
+bool
+Batches::IsOwned(const OwnedPtr& aOwned) const
+{
+  const auto found = m_owned.find(aOwned->m_id.m_value);
+  return found != m_owned.end() && found->second == aOwned;
+}
+
+BatchPolicy
+Batches::PolicyOf(const Submission& aSubmission) const
+{
+  BatchPolicy policy;
+  core::Duration giveUp = kDefaultGiveUp;
+  const auto document = m_configuration->Read();
+  const configuration::Route* route = configuration::FindRoute(
+    *document, aSubmission.m_host, aSubmission.m_path);
+  if (route != nullptr) {
+    policy.m_attempts = route->m_attempts;
+    if (const auto* kind =
+          std::get_if<configuration::BatchSubmissions>(&route->m_kind)) {
+      giveUp = kind->m_giveUpAfter;
+      policy.m_singleVersion = kind->m_singleVersion;
+    }
+  }
+  // The age of the batch is read off the wall clock once, at the start.
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  const auto accepted = std::chrono::milliseconds(aSubmission.m_acceptedAt);
+  const auto age = std::max(core::Duration::zero(),
+                            std::chrono::duration_cast<core::Duration>(wall) -
+                              core::Duration(accepted));
+  policy.m_giveUpAt = kernel::Now() + giveUp - std::min(age, giveUp);
+  return policy;
+}
+
+void
+Batches::Pump()
+{
+  const core::Instant now = kernel::Now();
+  StartItems();
+  core::Instant next = core::Instant::max();
+  const auto owned = m_owned;
+  for (const auto& [id, batch] : owned) {
+    if (batch->m_loaded) {
+      Serve(batch);
+      next = std::min(next, NextDeadline(batch->m_run, now));
+    }
+    for (const Waiter& waiter : batch->m_waiters) {
+      next = std::min(next, waiter.m_until);
+    }
+  }
+  if (next != core::Instant::max()) {
+    m_timer.Set(std::max(next, now + std::chrono::milliseconds(1)));
+  }
+}
+
+void
+Batches::Serve(const OwnedPtr& aOwned)
+{
+  GiveUpLate(aOwned->m_run, kernel::Now());
+  StartScores(aOwned);
+  StoreResults(aOwned);
+  AnswerWaiters(*aOwned);
+}
+
+void
+Batches::StartItems()
+{
+  std::vector<OwnedPtr> open;
+  for (const auto& [id, owned] : m_owned) {
+    if (owned->m_loaded && !owned->m_run.m_ended) {
+      open.push_back(owned);
+    }
+  }
+  // The oldest batch first: its trainer has waited longest.
+  std::ranges::sort(open, {}, [](const OwnedPtr& aOwned) {
+    return aOwned->m_run.m_policy.m_giveUpAt;
+  });
+  for (const OwnedPtr& owned : open) {
+    for (;;) {
+      const std::optional<size_t> item = NextToRun(owned->m_run, kernel::Now());
+      if (!item || !StartItem(owned, *item)) {
+        break;
+      }
+    }
+  }
+}
+
+bool
+Batches::StartItem(const OwnedPtr& aOwned, size_t aItem)
+{
+  BatchRun& run = aOwned->m_run;
+  const Submission& submission = *run.m_submission;
+  const auto document = m_configuration->Read();
+  const configuration::Route* route = configuration::FindRoute(
+    *document, submission.m_host, submission.m_path);
+  const auto pool =
+    route == nullptr
+      ? nullptr
+      : m_relay->Upstreams().Find(
+          configuration::ServiceFor(*route, run.m_runs).m_value);
+  if (!pool) {
+    return false;
+  }
+  const std::vector<EngineFacts> engines = FactsOf(*pool, submission.m_weights);
+  const std::optional<size_t> chosen = ChooseEngine(run, aItem, engines);
+  if (!chosen) {
+    return false;
+  }
+  const BatchItem& item = submission.m_items[aItem];
+  ItemRunTask task;
+  task.m_request = RequestOf(submission, item);
+  task.m_itemId = item.m_id.m_value;
+  task.m_ticket = std::make_shared<routing::Ticket>(pool, *chosen);
+  task.m_resumeAfter = run.m_items[aItem].m_events;
+  task.m_oldest = submission.m_oldest;
+  task.m_deadline = run.m_policy.m_giveUpAt;
+  task.m_abort = std::make_shared<http::CallAbort>();
+  const uint64_t number = StartRun(run, aItem, engines[*chosen].m_id);
+  const size_t loop = m_context.Traffic().NextIndex();
+  aOwned->m_work[aItem] = { loop, task.m_abort };
+  m_context.Metrics().Get("batches.runs").Add();
+  auto done = [self = shared_from_this(), aOwned, aItem, number](
+                RunReport aReport) {
+    if (!self->IsOwned(aOwned)) {
+      return;
+    }
+    aOwned->m_work.erase(aItem);
+    EndRun(aOwned->m_run, aItem, number, std::move(aReport), kernel::Now());
+    self->Pump();
+  };
+  asio::co_spawn(m_context.Traffic().Loop(loop),
+                 RunAndReport(m_context.Get<http::Clients>()->For(loop),
+                              m_context,
+                              std::move(task),
+                              std::move(done)),
+                 asio::detached);
+  return true;
+}
+
+void
+Batches::StartScores(const OwnedPtr& aOwned)
+{
+  for (size_t i = 0; i < kMaxScoresAtOnce; ++i) {
+    const std::optional<size_t> item =
+      NextToScore(aOwned->m_run, kernel::Now());
+    if (!item || !StartScoring(aOwned, *item)) {
+      return;
+    }
+  }
+}
+
+bool
+Batches::StartScoring(const OwnedPtr& aOwned, size_t aItem)
+{
+  const RewardCall& reward =
+    *aOwned->m_run.m_submission->m_items[aItem].m_reward;
+  const auto document = m_configuration->Read();
+  const configuration::Route* route =
+    configuration::FindRoute(*document, reward.m_host, reward.m_path);
+  if (route == nullptr) {
+    return false;
+  }
+  relay::RoutedCall call;
+  call.m_route = *route;
+  call.m_id = reward.m_id;
+  call.m_request.m_method = "POST";
+  call.m_request.m_target = reward.m_path;
+  call.m_request.m_headers.push_back({ "Host", reward.m_host });
+  call.m_request.m_body = reward.m_body;
+  call.m_deadline = kernel::Now() + route->m_timeout;
+  call.m_abort = std::make_shared<http::CallAbort>();
+  const size_t loop = m_context.Traffic().NextIndex();
+  aOwned->m_work[aItem] = { loop, call.m_abort };
+  const uint64_t number = StartScore(aOwned->m_run, aItem);
+  auto done = [self = shared_from_this(), aOwned, aItem, number](
+                const ScoreEnding& aEnding) {
+    if (!self->IsOwned(aOwned)) {
+      return;
+    }
+    aOwned->m_work.erase(aItem);
+    EndScore(aOwned->m_run, aItem, number, aEnding, kernel::Now());
+    self->Pump();
+  };
+  asio::co_spawn(
+    m_context.Traffic().Loop(loop),
+    ScoreAndReport(m_relay, m_context, loop, std::move(call), std::move(done)),
+    asio::detached);
+  return true;
+}
+
+void
+Batches::StoreResults(const OwnedPtr& aOwned)
+{
+  const std::optional<ResultChunk> chunk =
+    NextChunk(aOwned->m_run, kernel::Now());
+  if (chunk) {
+    WriteChunk(aOwned, *chunk);
+  }
+}
+
+void
+Batches::WriteChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk)
+{
+  m_store->Write(
+    { std::string(kResultsKind),
+      ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
+    0,
+    ToJson(aChunk),
+    objectstore::CallPriority::Lease,
+    [self = shared_from_this(), aOwned, aChunk](
+      const absl::StatusOr<uint64_t>& aVersion) {
+      if (!self->IsOwned(aOwned)) {
+        return;
+      }
+      if (aVersion.ok()) {
+        kernel::LogEvent(kernel::LogLevel::Info,
+                         "batches",
+                         "results-stored",
+                         { { "batch", aOwned->m_id.m_value },
+                           { "chunk", aChunk.m_number },
+                           { "results", aChunk.m_results.size() } });
+        ChunkStored(aOwned->m_run);
+        self->Pump();
+        return;
+      }
+      if (absl::IsAborted(aVersion.status())) {
+        self->ReadTakenChunk(aOwned, aChunk);
+        return;
+      }
+      self->m_context.Metrics().Get("batches.chunk_write_failed").Add();
+      self->WriteLater(aOwned, aChunk);
+    });
+}
+
+void
+Batches::ReadTakenChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk)
+{
+  m_store->Read(
+    { std::string(kResultsKind),
+      ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
+    objectstore::CallPriority::Lease,
+    [self = shared_from_this(), aOwned, aChunk](
+      const absl::StatusOr<objectstore::StoredObject>& aObject) {
+      if (!self->IsOwned(aOwned)) {
+        return;
+      }
+      absl::StatusOr<ResultChunk> found =
+        aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
+      if (!found.ok()) {
+        self->WriteLater(aOwned, aChunk);
+        return;
+      }
+      ChunkTaken(aOwned->m_run, *std::move(found), kernel::Now());
+      self->Pump();
+    });
+}
+
+void
+Batches::WriteLater(const OwnedPtr& aOwned, const ResultChunk& aChunk)
+{
+  constexpr core::Duration kRetryAfter = std::chrono::milliseconds(250);
+  auto timer = std::make_shared<std::unique_ptr<kernel::DeadlineTimer>>();
+  *timer = std::make_unique<kernel::DeadlineTimer>(
+    m_context.Control(), [self = shared_from_this(), aOwned, aChunk, timer] {
+      const auto keep = std::move(*timer);
+      if (self->IsOwned(aOwned)) {
+        self->WriteChunk(aOwned, aChunk);
+      }
+    });
+  (*timer)->Set(kernel::Now() + kRetryAfter);
+}
+
+void
+Batches::AbortWork(OwnedBatch& aOwned)
+{
+  for (const auto& [item, work] : aOwned.m_work) {
+    asio::post(m_context.Traffic().Loop(work.m_loop),
+               [abort = work.m_abort] { abort->Request(); });
+  }
+  aOwned.m_work.clear();
+}
+
+void
+Batches::AnswerWaiters(OwnedBatch& aOwned)
+{
+  const core::Instant now = kernel::Now();
+  std::vector<Waiter> waiters = std::exchange(aOwned.m_waiters, {});
+  for (Waiter& waiter : waiters) {
+    const bool ready =
+      aOwned.m_run.m_listed.size() > waiter.m_after || waiter.m_until <= now ||
+      aOwned.m_run.m_ended;
+    if (!ready) {
+      aOwned.m_waiters.push_back(std::move(waiter));
+      continue;
+    }
+    waiter.m_done(PageOf(aOwned.m_run, waiter.m_after));
+  }
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/relay/decisions/eventstream.cpp
@@ -0,0 +1,94 @@
+#include "relay/eventstream.h"
+
+#include <charconv>
+
+namespace heatherdeal::relay {
+
+namespace {
+
+std::optional<uint64_t>
+NumberOf(std::string_view aText)
+{
+  uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, number);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+} // namespace
+
+EventStreamReader::EventStreamReader(std::string_view aVersionField)
+  : m_versionField(aVersionField)
+{
+}
+
+std::vector<StreamEvent>
+EventStreamReader::Feed(std::string_view aBytes)
+{
+  m_rest += aBytes;
+  std::vector<StreamEvent> events;
+  size_t begin = 0;
+  for (;;) {
+    const size_t end = m_rest.find('\n', begin);
+    if (end == std::string::npos) {
+      break;
+    }
+    std::string_view line = std::string_view(m_rest).substr(begin, end - begin);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    TakeLine(line, events);
+    begin = end + 1;
+  }
+  m_rest.erase(0, begin);
+  return events;
+}
+
+void
+EventStreamReader::TakeLine(std::string_view aLine,
+                            std::vector<StreamEvent>& aEvents)
+{
+  if (aLine.empty()) {
+    if (m_hasData) {
+      aEvents.push_back(std::move(m_event));
+    }
+    m_event = {};
+    m_hasData = false;
+    return;
+  }
+  const size_t colon = aLine.find(':');
+  std::string_view value =
+    colon == std::string_view::npos ? "" : aLine.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  TakeField(aLine.substr(0, colon), value);
+}
+
+void
+EventStreamReader::TakeField(std::string_view aName, std::string_view aValue)
+{
+  if (aName == "data") {
+    if (m_hasData) {
+      m_event.m_data += '\n';
+    }
+    m_event.m_data += aValue;
+    m_hasData = true;
+    return;
+  }
+  if (aName == "id") {
+    m_event.m_id = NumberOf(aValue).value_or(0);
+    return;
+  }
+  if (aName == m_versionField) {
+    const std::optional<uint64_t> number = NumberOf(aValue);
+    if (number) {
+      m_event.m_version = core::WeightVersion{ *number };
+    }
+  }
+}
+
+} // namespace heatherdeal::relay
--- /dev/null
+++ b/src/relay/relaymodule.cpp
@@ -0,0 +1,41 @@
+#include "relay/relaymodule.h"
+
+#include "http/httpmodule.h"
+#include "kernel/plugin.h"
+#include "routing/routingmodule.h"
+
+namespace heatherdeal::relay {
+
+namespace {
+
+struct NoSettings
+{};
+
+std::any
+ParseSettings(kernel::SettingsReader&)
+{
+  return NoSettings{};
+}
+
+absl::Status
+Start(kernel::Context& aContext, const std::any&)
+{
+  aContext.Provide(std::make_shared<Relay>(aContext));
+  return absl::OkStatus();
+}
+
+constexpr std::string_view kNeeds[] = { http::kModuleName,
+                                        routing::kModuleName };
+
+const kernel::PluginRegistration kRegistration{ {
+  .m_name = kModuleName,
+  .m_needs = kNeeds,
+  .m_parseSettings = ParseSettings,
+  .m_start = Start,
+  .m_drain = nullptr,
+  .m_dump = nullptr,
+} };
+
+} // namespace
+
+} // namespace heatherdeal::relay
--- /dev/null
+++ b/src/relay/relaymodule.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string_view>
+
+#include "relay/relay.h"
+
+namespace heatherdeal::relay {
+
+/// The plug-in exports Relay.
+inline constexpr std::string_view kModuleName = "relay";
+
+} // namespace heatherdeal::relay
