--- /dev/null
+++ b/src/batches/internal/batchgateway.cpp
@@ -0,0 +1,149 @@
+#include "batches/batchgateway.h"
+
+#include <algorithm>
+
+#include "batches/internal/objectnames.h"
+#include "batches/ownership.h"
+#include "core/failure.h"
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint32_t kMisdirected = 421;
+constexpr uint32_t kUnavailable = 503;
+constexpr std::string_view kOwnerHeader = "X-Heatherdeal-Owner";
+constexpr size_t kMaxRemembered = 4096;
+constexpr size_t kMaxTries = 5;
+// A host that takes a call answers it within this time, waits included.
+constexpr core::Duration kTryTime = std::chrono::milliseconds(2500);
+
+/// Puts the host of that name first, if it is among the candidates.
+void
+Prefer(std::vector<objectstore::HostEntry>& aCandidates, std::string_view aName)
+{
+  const auto found = std::ranges::find(
+    aCandidates, aName, &objectstore::HostEntry::m_name);
+  if (found != aCandidates.end()) {
+    std::rotate(aCandidates.begin(), found, found + 1);
+  }
+}
+
+} // namespace
+
+http::Answer
+ElsewhereAnswer(std::string_view aOwner)
+{
+  http::Answer answer;
+  answer.m_head.m_status = kMisdirected;
+  answer.m_head.m_headers.push_back(
+    { std::string(kOwnerHeader), std::string(aOwner) });
+  return answer;
+}
+
+BatchGateway::BatchGateway(kernel::Context& aContext)
+  : m_context(aContext)
+  , m_hosts(aContext.Get<objectstore::Hosts>())
+  , m_gossip(aContext.Get<gossip::Gossip>())
+  , m_clients(aContext.Get<http::Clients>())
+{
+}
+
+std::vector<objectstore::HostEntry>
+BatchGateway::CandidatesFor(const BatchId& aBatch) const
+{
+  std::map<std::string, objectstore::HostEntry> entries;
+  std::vector<std::string> alive;
+  std::vector<std::string> leaving;
+  const auto hosts = m_hosts->Read();
+  for (const objectstore::HostEntry& host : *hosts) {
+    if (host.m_service != kHostService || !m_gossip->IsHeard(host.m_name)) {
+      continue;
+    }
+    entries[host.m_name] = host;
+    (m_gossip->IsAlive(host.m_name) ? alive : leaving).push_back(host.m_name);
+  }
+  std::vector<objectstore::HostEntry> candidates;
+  for (const std::string& name : RankHosts(aBatch.m_value, alive)) {
+    candidates.push_back(entries[name]);
+  }
+  for (const std::string& name : RankHosts(aBatch.m_value, leaving)) {
+    candidates.push_back(entries[name]);
+  }
+  const std::scoped_lock lock(m_mutex);
+  const auto owner = m_owners.find(aBatch.m_value);
+  if (owner != m_owners.end()) {
+    Prefer(candidates, owner->second);
+  }
+  return candidates;
+}
+
+void
+BatchGateway::Remember(const BatchId& aBatch, std::string_view aOwner)
+{
+  const std::scoped_lock lock(m_mutex);
+  if (m_owners.size() >= kMaxRemembered) {
+    m_owners.clear();
+  }
+  m_owners[aBatch.m_value] = aOwner;
+}
+
+asio::awaitable<absl::StatusOr<http::Answer>>
+BatchGateway::Forward(size_t aLoopIndex,
+                      BatchId aBatch,
+                      http::Request aRequest,
+                      core::Instant aDeadline)
+{
+  std::vector<objectstore::HostEntry> candidates = CandidatesFor(aBatch);
+  absl::Status worst =
+    core::ToStatus(core::NoUpstream{ std::string(kHostService) });
+  std::optional<http::Answer> unavailable;
+  for (size_t tries = 0; tries < kMaxTries && !candidates.empty(); ++tries) {
+    const objectstore::HostEntry host = candidates.front();
+    candidates.erase(candidates.begin());
+    const core::Instant limit =
+      std::min(aDeadline, kernel::Now() + kTryTime);
+    absl::StatusOr<http::Answer> answer =
+      co_await m_clients->For(aLoopIndex)
+        .Call(host.m_endpoint, aRequest, http::Reuse::Allowed, limit);
+    if (!answer.ok()) {
+      kernel::LogEvent(kernel::LogLevel::Info,
+                       "batches",
+                       "owner-unreachable",
+                       { { "batch", aBatch.m_value },
+                         { "host", host.m_name },
+                         { "method", aRequest.m_method },
+                         { "reason", http::DescribeStatus(answer.status()) } });
+      const core::Executed executed =
+        core::ExecutedOf(http::FailureOf(answer.status()));
+      if (executed != core::Executed::No) {
+        worst = answer.status();
+      }
+      continue;
+    }
+    const uint32_t status = answer->m_head.m_status;
+    if (status == kMisdirected) {
+      const std::string owner(
+        http::FindHeader(answer->m_head.m_headers, kOwnerHeader));
+      Remember(aBatch, owner);
+      Prefer(candidates, owner);
+      continue;
+    }
+    if (status == kUnavailable) {
+      unavailable = *std::move(answer);
+      continue;
+    }
+    co_return answer;
+  }
+  const core::Executed executed = core::ExecutedOf(http::FailureOf(worst));
+  if (unavailable && executed == core::Executed::No) {
+    co_return *std::move(unavailable);
+  }
+  co_return worst;
+}
+
+} // namespace heatherdeal::batches
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -17,6 +17,8 @@
 {
   /// Name of the weights in the weight store.
   std::string m_weights;
+  /// Further sets of weights that the engines hold beside it.
+  std::vector<std::string> m_alsoServes;
   /// Share of an engine's slots that training may use, in percent.
   uint32_t m_trainingCeilingPercent = 70;
   /// Share of the engines that stays in service during a weight change.
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -32,6 +32,7 @@
   }
   ModelEngines engines;
   engines.m_weights = aReader.Text("weights");
+  engines.m_alsoServes = aReader.TextsOr("also_serves");
   engines.m_trainingCeilingPercent = static_cast<uint32_t>(
     aReader.IntegerOr("training_ceiling_percent", kPercent, 70));
   engines.m_floorPercent =
@@ -89,6 +90,11 @@
                [&object](const ModelEngines& aEngines) {
                  object["kind"] = "engine";
                  object["weights"] = aEngines.m_weights;
+                 boost::json::array also;
+                 for (const std::string& weights : aEngines.m_alsoServes) {
+                   also.emplace_back(weights);
+                 }
+                 object["also_serves"] = std::move(also);
                  object["training_ceiling_percent"] =
                    aEngines.m_trainingCeilingPercent;
                  object["floor_percent"] = aEngines.m_floorPercent;
--- a/src/discovery/discoverymodule.cpp
+++ b/src/discovery/discoverymodule.cpp
@@ -1,13 +1,10 @@
 #include "discovery/discoverymodule.h"
 
-#include <atomic>
-
 #include "boost/json/serialize.hpp"
 
-#include "discovery/addresses.h"
+#include "discovery/directory.h"
 #include "gossip/gossipmodule.h"
 #include "http/httpmodule.h"
-#include "kernel/deadlinetimer.h"
 #include "kernel/json.h"
 #include "kernel/plugin.h"
 #include "objectstore/objectstoremodule.h"
@@ -20,31 +17,10 @@
 constexpr int64_t kMaxAnswers = 64;
 constexpr std::string_view kDefaultRole = "entry";
 
-struct DiscoverySettings
-{
-  core::Duration m_lifetime = std::chrono::seconds(10);
-  /// How long the other hosts may take to hear that this one leaves.
-  core::Duration m_leaveMargin = std::chrono::seconds(3);
-  uint32_t m_answers = 3;
-};
-
-/// Answers which addresses callers may use.
-struct Discovery
-{
-  DiscoverySettings m_settings;
-  std::string m_host;
-  std::shared_ptr<objectstore::Hosts> m_hosts;
-  std::shared_ptr<gossip::Gossip> m_gossip;
-  std::atomic<uint64_t> m_ticket{ 0 };
-  std::atomic<bool> m_leaving{ false };
-  std::unique_ptr<kernel::DeadlineTimer> m_drainTimer;
-  kernel::Shutdown::Hold m_drainHold;
-};
-
 std::any
 ParseSettings(kernel::SettingsReader& aReader)
 {
-  DiscoverySettings settings;
+  DirectorySettings settings;
   settings.m_lifetime = aReader.MillisecondsOr(
     "lifetime_ms", { 1, kMaxLifetimeMilliseconds }, settings.m_lifetime);
   settings.m_leaveMargin = aReader.MillisecondsOr(
@@ -54,24 +30,6 @@
   return settings;
 }
 
-std::vector<Candidate>
-CandidatesOf(const Discovery& aDiscovery, std::string_view aRole)
-{
-  std::vector<Candidate> candidates;
-  const auto hosts = aDiscovery.m_hosts->Read();
-  for (const objectstore::HostEntry& host : *hosts) {
-    if (host.m_service != aRole) {
-      continue;
-    }
-    // The list lags; this process knows earlier that it is leaving.
-    const bool leaving =
-      host.m_leaving || aDiscovery.m_gossip->IsLeaving(host.m_name) ||
-      (host.m_name == aDiscovery.m_host && aDiscovery.m_leaving.load());
-    candidates.push_back({ host.m_endpoint, host.m_failureDomain, leaving });
-  }
-  return candidates;
-}
-
 std::string
 ToJson(std::span<const core::Endpoint> aEndpoints, core::Duration aLifetime)
 {
@@ -88,7 +46,7 @@
 }
 
 boost::asio::awaitable<void>
-AnswerAddresses(std::shared_ptr<Discovery> aDiscovery,
+AnswerAddresses(std::shared_ptr<Directory> aDirectory,
                 http::Exchange& aExchange)
 {
   const std::string_view target = aExchange.Asked().m_target;
@@ -96,18 +54,14 @@
     http::QueryValue(target, "role").value_or(kDefaultRole);
   const std::string_view domain =
     http::QueryValue(target, "failure_domain").value_or("");
-  const std::vector<Candidate> candidates = CandidatesOf(*aDiscovery, role);
   const std::vector<core::Endpoint> endpoints =
-    ChooseAddresses(candidates,
-                    domain,
-                    aDiscovery->m_ticket.fetch_add(1),
-                    aDiscovery->m_settings.m_answers);
+    aDirectory->Addresses(role, domain);
   http::Answer answer;
   if (endpoints.empty()) {
     answer = http::FailureAnswer(core::NoUpstream{ std::string(role) });
   } else {
     answer.m_head.m_headers.push_back({ "Content-Type", "application/json" });
-    answer.m_body = ToJson(endpoints, aDiscovery->m_settings.m_lifetime);
+    answer.m_body = ToJson(endpoints, aDirectory->Lifetime());
   }
   co_await aExchange.Reply(std::move(answer));
 }
@@ -115,15 +69,12 @@
 absl::Status
 Start(kernel::Context& aContext, const std::any& aSettings)
 {
-  auto discovery = std::make_shared<Discovery>();
-  discovery->m_settings = std::any_cast<const DiscoverySettings&>(aSettings);
-  discovery->m_host = aContext.Self().m_host;
-  discovery->m_hosts = aContext.Get<objectstore::Hosts>();
-  discovery->m_gossip = aContext.Get<gossip::Gossip>();
-  aContext.Provide(discovery);
+  auto directory = std::make_shared<Directory>(
+    aContext, std::any_cast<const DirectorySettings&>(aSettings));
+  aContext.Provide(directory);
   aContext.Get<http::Server>()->AddRoute(
-    { "GET", "/v1/addresses", [discovery](http::Exchange& aExchange) {
-       return AnswerAddresses(discovery, aExchange);
+    { "GET", "/v1/addresses", [directory](http::Exchange& aExchange) {
+       return AnswerAddresses(directory, aExchange);
      } });
   return absl::OkStatus();
 }
@@ -131,25 +82,15 @@
 void
 Drain(kernel::Context& aContext)
 {
-  const auto discovery = aContext.Get<Discovery>();
-  discovery->m_leaving.store(true);
-  discovery->m_drainHold = aContext.Stopping().Acquire();
-  std::weak_ptr<Discovery> weak = discovery;
-  discovery->m_drainTimer = std::make_unique<kernel::DeadlineTimer>(
-    aContext.Control(), [weak] { weak.lock()->m_drainHold.reset(); });
-  // Others give this address until they hear; the last such answer lapses a
-  // whole lifetime later.
-  discovery->m_drainTimer->Set(kernel::Now() +
-                               discovery->m_settings.m_leaveMargin +
-                               discovery->m_settings.m_lifetime);
+  aContext.Get<Directory>()->StartLeaving();
 }
 
 boost::json::value
 Dump(kernel::Context& aContext)
 {
-  const auto discovery = aContext.Get<Discovery>();
-  return { { "answers", discovery->m_ticket.load() },
-           { "leaving", discovery->m_leaving.load() } };
+  const auto directory = aContext.Get<Directory>();
+  return { { "answers", directory->Answers() },
+           { "leaving", directory->IsLeaving() } };
 }
 
 constexpr std::string_view kNeeds[] = { gossip::kModuleName,
--- /dev/null
+++ b/src/discovery/internal/directory.cpp
@@ -0,0 +1,56 @@
+#include "discovery/directory.h"
+
+namespace heatherdeal::discovery {
+
+Directory::Directory(kernel::Context& aContext, DirectorySettings aSettings)
+  : m_context(aContext)
+  , m_settings(aSettings)
+  , m_hosts(aContext.Get<objectstore::Hosts>())
+  , m_gossip(aContext.Get<gossip::Gossip>())
+  , m_drainTimer(aContext.Control(), [this] { m_drainHold.reset(); })
+{
+}
+
+std::vector<Candidate>
+Directory::CandidatesOf(std::string_view aRole) const
+{
+  std::vector<Candidate> candidates;
+  const auto hosts = m_hosts->Read();
+  for (const objectstore::HostEntry& host : *hosts) {
+    if (host.m_service != aRole) {
+      continue;
+    }
+    // The list lags; gossip and this process itself know earlier.
+    const bool isSelf = host.m_name == m_context.Self().m_host;
+    const bool leaving = host.m_leaving || m_gossip->IsLeaving(host.m_name) ||
+                         (isSelf && m_leaving.load());
+    const bool silent =
+      m_gossip->IsEnabled() && !m_gossip->IsHeard(host.m_name);
+    candidates.push_back(
+      { host.m_endpoint, host.m_failureDomain, leaving || silent });
+  }
+  return candidates;
+}
+
+std::vector<core::Endpoint>
+Directory::Addresses(std::string_view aRole, std::string_view aFailureDomain)
+{
+  const std::vector<Candidate> candidates = CandidatesOf(aRole);
+  return ChooseAddresses(candidates,
+                         aFailureDomain,
+                         m_ticket.fetch_add(1),
+                         m_settings.m_answers);
+}
+
+void
+Directory::StartLeaving()
+{
+  m_leaving.store(true);
+  m_drainHold = m_context.Stopping().Acquire();
+  // Others give this address until they hear; the last such answer lapses a
+  // whole lifetime later.
+  m_drainTimer.Set(kernel::Now() + m_settings.m_leaveMargin +
+                   m_settings.m_lifetime);
+}
+
+} // namespace heatherdeal::discovery
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -48,6 +48,7 @@
   bool IsAlive(std::string_view aHost) const;
   /// The same, whether it leaves or not.
   bool IsHeard(std::string_view aHost) const;
+  bool IsEnabled() const { return m_settings.m_enabled; }
 
   const GossipState& State() const { return m_state; }
 
--- a/src/gossip/gossipmodule.cpp
+++ b/src/gossip/gossipmodule.cpp
@@ -11,6 +11,7 @@
 
 constexpr int64_t kMaxPort = 65535;
 constexpr int64_t kMaxKey = 255;
+constexpr int64_t kMaxFanout = 32;
 constexpr size_t kLeastKeyBytes = 16;
 constexpr kernel::Range kMilliseconds{ 10, 600'000 };
 
@@ -39,6 +40,10 @@
     "interval_ms", kMilliseconds, settings.m_policy.m_interval);
   settings.m_policy.m_suspectAfter = aReader.MillisecondsOr(
     "suspect_after_ms", kMilliseconds, settings.m_policy.m_suspectAfter);
+  settings.m_policy.m_fanout = static_cast<uint32_t>(
+    aReader.IntegerOr("fanout", { 1, kMaxFanout }, settings.m_policy.m_fanout));
+  settings.m_policy.m_piggyback = static_cast<uint32_t>(aReader.IntegerOr(
+    "piggyback", { 0, kMaxHostsPerDigest - 1 }, settings.m_policy.m_piggyback));
   settings.m_keys.m_active =
     static_cast<uint8_t>(aReader.IntegerOr("active_key", { 0, kMaxKey }, 0));
   aReader.ForEach(
--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -6,11 +6,18 @@
 
 namespace heatherdeal::http {
 
+bool
+IsHeader(std::string_view aLeft, std::string_view aRight)
+{
+  return boost::beast::iequals({ aLeft.data(), aLeft.size() },
+                               { aRight.data(), aRight.size() });
+}
+
 std::string_view
 FindHeader(std::span<const Header> aHeaders, std::string_view aName)
 {
   for (const Header& header : aHeaders) {
-    if (boost::beast::iequals(header.m_name, { aName.data(), aName.size() })) {
+    if (IsHeader(header.m_name, aName)) {
       return header.m_value;
     }
   }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -38,6 +38,10 @@
   std::string m_body;
 };
 
+/// True if both are one header name, in any case.
+bool
+IsHeader(std::string_view aLeft, std::string_view aRight);
+
 /// The value of the first header of that name, any case; "" if none.
 std::string_view
 FindHeader(std::span<const Header> aHeaders, std::string_view aName);
--- a/src/kernel/internal/plugin.cpp
+++ b/src/kernel/internal/plugin.cpp
@@ -26,14 +26,9 @@
 NeedsAreMet(const PluginDescriptor& aPlugin,
             std::span<const PluginDescriptor> aStarted)
 {
-  const auto started = [&](std::string_view aName) {
-    return Contains(aStarted, aName);
-  };
-  const auto startedOrAbsent = [&](std::string_view aName) {
-    return started(aName) || !Contains(Registry(), aName);
-  };
-  return std::ranges::all_of(aPlugin.m_needs, started) &&
-         std::ranges::all_of(aPlugin.m_after, startedOrAbsent);
+  return std::ranges::all_of(aPlugin.m_needs, [&](std::string_view aNeed) {
+    return Contains(aStarted, aNeed);
+  });
 }
 
 } // namespace
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -21,8 +21,6 @@
   std::string_view m_name;
   /// Plug-ins that start before this one.
   std::span<const std::string_view> m_needs;
-  /// Plug-ins that start before this one if they are linked in.
-  std::span<const std::string_view> m_after = {};
   std::any (*m_parseSettings)(SettingsReader& aReader) = nullptr;
   absl::Status (*m_start)(Context& aContext,
                           const std::any& aSettings) = nullptr;
--- a/src/objectstore/internal/owncodec.cpp
+++ b/src/objectstore/internal/owncodec.cpp
@@ -134,6 +134,16 @@
   return request;
 }
 
+http::Request
+EncodeStatus(const ObjectKey& aKey, std::string_view aValue)
+{
+  http::Request request;
+  request.m_method = "PUT";
+  request.m_target = TargetOf(aKey) + "/status";
+  request.m_body = aValue;
+  return request;
+}
+
 http::Request
 EncodeList(const ListRequest& aList)
 {
@@ -177,6 +187,7 @@
   .m_decodeRead = DecodeRead,
   .m_encodeWrite = EncodeWrite,
   .m_decodeWrite = DecodeWrite,
+  .m_encodeStatus = EncodeStatus,
   .m_encodeRemove = EncodeRemove,
   .m_encodeList = EncodeList,
   .m_decodeList = DecodeList,
--- a/src/objectstore/objectcodec.h
+++ b/src/objectstore/objectcodec.h
@@ -63,6 +63,9 @@
     const WriteRequest& aWrite,
     const http::Answer& aAnswer,
     const core::Endpoint& aPeer) = nullptr;
+  /// Sets the status of an object that an operator wrote.
+  http::Request (*m_encodeStatus)(const ObjectKey& aKey,
+                                  std::string_view aValue) = nullptr;
   http::Request (*m_encodeRemove)(const ObjectKey& aKey) = nullptr;
   http::Request (*m_encodeList)(const ListRequest& aList) = nullptr;
   absl::StatusOr<ObjectList> (*m_decodeList)(
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -24,6 +24,8 @@
   BackoffPolicy m_backoff;
   core::Duration m_callTime = std::chrono::seconds(2);
   core::Duration m_watchTime = std::chrono::seconds(20);
+  /// False if no upstream refuses orders with an old fencing number.
+  bool m_upstreamsCheckFences = true;
   /// How long entries that lapsed during an outage are kept after it.
   core::Duration m_lapseGrace = std::chrono::milliseconds(1900);
 };
--- a/src/objectstore/objectstoremodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -12,18 +12,43 @@
 constexpr double kMaxCallsPerSecond = 2000.0;
 constexpr int64_t kMaxMilliseconds = 600'000;
 
+/// An object with address and port, or "ADDRESS:PORT".
+core::Endpoint
+ParseEndpoint(kernel::SettingsReader& aReader,
+              const boost::json::value& aValue,
+              std::string_view aPath)
+{
+  core::Endpoint endpoint;
+  if (!aValue.is_string()) {
+    kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+    endpoint.m_address = element.TextOr("address", "127.0.0.1");
+    endpoint.m_port =
+      static_cast<uint16_t>(element.Integer("port", { 1, kMaxPort }));
+    return endpoint;
+  }
+  const std::string text(aValue.get_string());
+  const size_t colon = text.rfind(':');
+  const long port =
+    colon == std::string::npos
+      ? 0
+      : std::strtol(text.c_str() + colon + 1, nullptr, 10);
+  if (port < 1 || port > kMaxPort) {
+    aReader.Errors().m_errors.push_back(
+      { std::string(aPath), text, "ADDRESS:PORT" });
+    return endpoint;
+  }
+  endpoint.m_address = text.substr(0, colon);
+  endpoint.m_port = static_cast<uint16_t>(port);
+  return endpoint;
+}
+
 std::any
 ParseSettings(kernel::SettingsReader& aReader)
 {
   ObjectStoreSettings settings;
   aReader.ForEach(
     "endpoints", [&](const boost::json::value& aValue, std::string_view aPath) {
-      kernel::SettingsReader element(aValue, aPath, aReader.Errors());
-      core::Endpoint endpoint;
-      endpoint.m_address = element.TextOr("address", "127.0.0.1");
-      endpoint.m_port =
-        static_cast<uint16_t>(element.Integer("port", { 1, kMaxPort }));
-      settings.m_endpoints.push_back(endpoint);
+      settings.m_endpoints.push_back(ParseEndpoint(aReader, aValue, aPath));
     });
   if (settings.m_endpoints.empty()) {
     aReader.Errors().m_errors.push_back(
@@ -40,6 +65,8 @@
     aReader.MillisecondsOr("watch_time_ms", range, settings.m_watchTime);
   settings.m_backoff.m_greatest = aReader.MillisecondsOr(
     "backoff_max_ms", range, settings.m_backoff.m_greatest);
+  settings.m_upstreamsCheckFences =
+    aReader.FlagOr("upstreams_check_fences", true);
   settings.m_lapseGrace = aReader.MillisecondsOr(
     "lapse_grace_ms", { 0, kMaxMilliseconds }, settings.m_lapseGrace);
   return settings;
@@ -56,9 +83,16 @@
   for (const std::string_view kind : CodecInUse().m_hostKinds) {
     store->WatchLapsing(
       std::string(kind),
-      [hosts, kind, &aContext](std::span<const StoredObject> aObjects) {
+      [hosts, kind, settings, &aContext](
+        std::span<const StoredObject> aObjects) {
         uint64_t invalid = 0;
-        hosts->Replace(kind, ParseHostList(aObjects, invalid));
+        std::vector<HostEntry> entries = ParseHostList(aObjects, invalid);
+        if (!settings.m_upstreamsCheckFences) {
+          for (HostEntry& entry : entries) {
+            entry.m_fencing = IgnoresFence{};
+          }
+        }
+        hosts->Replace(kind, std::move(entries));
         aContext.Metrics().Get("objectstore.invalid_host").Add(invalid);
       });
   }
--- a/src/weights/internal/serviceweights.cpp
+++ b/src/weights/internal/serviceweights.cpp
@@ -98,7 +98,9 @@
   if (aFailure) {
     event = OrderFailed{ order.m_engine, order.m_version, *aFailure };
   }
-  aContext.Control().Post([aOwner, event] { aOwner->Feed(event); });
+  aContext.Control().Post([aOwner, event, weights = aTask.m_weights] {
+    aOwner->Feed(weights, event);
+  });
 }
 
 /// Gives the order and, where engines have to be asked, follows it up.
@@ -147,10 +149,10 @@
                                const configuration::Service& aService,
                                const WeightsSettings& aSettings)
   : m_context(aContext)
-  , m_timer(aContext.Control(), [this] { Feed(WaveTimer{}); })
+  , m_timer(aContext.Control(), [this] { FeedAll(WaveTimer{}); })
 {
-  m_state.m_policy.m_orderTime = aSettings.m_orderTime;
-  m_state.m_policy.m_waitOut = aSettings.m_orderTime;
+  m_policy.m_orderTime = aSettings.m_orderTime;
+  m_policy.m_waitOut = aSettings.m_orderTime;
   lease::LeasePolicy leasePolicy = aSettings.m_lease;
   leasePolicy.m_outage = lease::GoOnUntilTaken{};
   SetService(aService);
@@ -160,8 +162,8 @@
     leasePolicy,
     aContext.Self().m_host,
     lease::LeaseCallbacks{
-      [this](uint64_t aEpoch) { Feed(LeaseBegan{ aEpoch }); },
-      [this](std::string_view) { Feed(LeaseEnded{}); } });
+      [this](uint64_t aEpoch) { FeedAll(LeaseBegan{ aEpoch }); },
+      [this](std::string_view) { FeedAll(LeaseEnded{}); } });
 }
 
 void
@@ -176,23 +178,23 @@
   m_lease->Resign();
 }
 
-std::string_view
-ServiceWeights::WeightsName() const
-{
-  const auto* engines =
-    std::get_if<configuration::ModelEngines>(&m_service.m_kind);
-  return engines == nullptr ? std::string_view()
-                            : std::string_view(engines->m_weights);
-}
-
 void
 ServiceWeights::SetService(const configuration::Service& aService)
 {
   m_service = aService;
-  if (const auto* engines =
-        std::get_if<configuration::ModelEngines>(&m_service.m_kind)) {
-    m_state.m_policy.m_floorPercent = engines->m_floorPercent;
-    m_state.m_policy.m_concurrentLoads = engines->m_concurrentLoads;
+  const auto* engines =
+    std::get_if<configuration::ModelEngines>(&m_service.m_kind);
+  if (engines == nullptr) {
+    return;
+  }
+  std::vector<std::string> names = engines->m_alsoServes;
+  names.push_back(engines->m_weights);
+  m_policy.m_floorPercent = engines->m_floorPercent;
+  // The sets of weights share what may be loaded at once.
+  const auto sets = static_cast<uint32_t>(names.size());
+  m_policy.m_concurrentLoads = std::max(1U, engines->m_concurrentLoads / sets);
+  for (const std::string& name : names) {
+    m_waves[name].m_policy = m_policy;
   }
 }
 
@@ -211,7 +213,7 @@
     m_endpoints[id] = host.m_endpoint;
     listed.m_engines.push_back({ id, checksFence, host.m_leaving });
   }
-  Feed(listed);
+  FeedAll(listed);
   ObserveVersions(aHosts);
 }
 
@@ -223,48 +225,64 @@
       continue;
     }
     for (const objectstore::ServedWeights& weights : host.m_weights) {
-      if (weights.m_name == WeightsName()) {
-        Feed(VersionObserved{ { host.m_name }, weights.m_version });
-      }
+      Feed(weights.m_name, VersionObserved{ { host.m_name }, weights.m_version });
     }
   }
 }
 
 void
-ServiceWeights::Feed(const WaveEvent& aEvent)
+ServiceWeights::FeedAll(const WaveEvent& aEvent)
 {
+  for (const auto& [name, wave] : m_waves) {
+    Feed(name, aEvent);
+  }
+}
+
+void
+ServiceWeights::Feed(std::string_view aWeights, const WaveEvent& aEvent)
+{
+  const auto wave = m_waves.find(aWeights);
+  if (wave == m_waves.end()) {
+    return;
+  }
   std::vector<WaveEffect> effects;
-  Apply(m_state, aEvent, kernel::Now(), effects);
+  Apply(wave->second, aEvent, kernel::Now(), effects);
   for (const WaveEffect& effect : effects) {
-    std::visit([this](const auto& aTyped) { Run(aTyped); }, effect);
+    std::visit([&](const auto& aTyped) { Run(wave->first, aTyped); }, effect);
+  }
+  std::optional<core::Instant> next;
+  for (const auto& [name, state] : m_waves) {
+    const std::optional<core::Instant> due = NextDeadline(state);
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
   }
-  const std::optional<core::Instant> next = NextDeadline(m_state);
   if (next) {
     m_timer.Set(*next);
   }
 }
 
 void
-ServiceWeights::Run(const OrderLoad& aEffect)
+ServiceWeights::Run(std::string_view aWeights, const OrderLoad& aEffect)
 {
   // A holder that was paused finds out here that its time is over. Engines
   // that check fencing numbers refuse it by themselves.
+  const WaveState& wave = m_waves.find(aWeights)->second;
   const bool checksFence =
-    m_state.m_engines.at(aEffect.m_engine).m_facts.m_checksFence;
+    wave.m_engines.at(aEffect.m_engine).m_facts.m_checksFence;
   if (!checksFence && !lease::MayAct(m_lease->State(), kernel::Now())) {
     m_context.Metrics().Get("weights.order_after_lease").Add();
     return;
   }
   m_context.Metrics().Get("weights.orders").Add();
-  asio::co_spawn(
-    m_context.Traffic().Loop(kLoopIndex),
-    SendOrder(m_context,
-              shared_from_this(),
-              OrderTask{ aEffect,
-                         m_endpoints[aEffect.m_engine],
-                         m_context.Self().m_host,
-                         std::string(WeightsName()) }),
-    asio::detached);
+  asio::co_spawn(m_context.Traffic().Loop(kLoopIndex),
+                 SendOrder(m_context,
+                           shared_from_this(),
+                           OrderTask{ aEffect,
+                                      m_endpoints[aEffect.m_engine],
+                                      m_context.Self().m_host,
+                                      std::string(aWeights) }),
+                 asio::detached);
 }
 
 } // namespace heatherdeal::weights
--- a/src/weights/internal/serviceweights.h
+++ b/src/weights/internal/serviceweights.h
@@ -19,7 +19,8 @@
   core::Duration m_orderTime = std::chrono::seconds(8);
 };
 
-/// Carries out the orders of one service. Control thread only.
+/// Carries out the orders to the engines of one service, for each set of
+/// weights that they hold, under one lease. Control thread only.
 class ServiceWeights : public std::enable_shared_from_this<ServiceWeights>
 {
 public:
@@ -31,18 +32,22 @@
   void Resign();
   void SetService(const configuration::Service& aService);
   void SetHosts(std::span<const objectstore::HostEntry> aHosts);
-  void Feed(const WaveEvent& aEvent);
+  /// For the wave of one set of weights; ignored if there is none.
+  void Feed(std::string_view aWeights, const WaveEvent& aEvent);
+  /// For every wave.
+  void FeedAll(const WaveEvent& aEvent);
 
-  const WaveState& State() const { return m_state; }
-  std::string_view WeightsName() const;
+  using Waves = std::map<std::string, WaveState, std::less<>>;
+  const Waves& States() const { return m_waves; }
 
 private:
-  void Run(const OrderLoad& aEffect);
+  void Run(std::string_view aWeights, const OrderLoad& aEffect);
   void ObserveVersions(std::span<const objectstore::HostEntry> aHosts);
 
   kernel::Context& m_context;
   configuration::Service m_service;
-  WaveState m_state;
+  WavePolicy m_policy;
+  Waves m_waves;
   std::map<core::UpstreamId, core::Endpoint> m_endpoints;
   std::shared_ptr<lease::LeaseClient> m_lease;
   kernel::DeadlineTimer m_timer;
--- a/src/weights/weightsmodule.cpp
+++ b/src/weights/weightsmodule.cpp
@@ -5,7 +5,7 @@
 #include "kernel/plugin.h"
 #include "lease/leasesettings.h"
 #include "objectstore/objectstoremodule.h"
-#include "reports/reportsmodule.h"
+#include "weights/engineversions.h"
 #include "weights/internal/serviceweights.h"
 #include "weights/newestversion.h"
 #include "weights/weightsobject.h"
@@ -52,9 +52,8 @@
     *aWeights.m_context, aService, aWeights.m_settings);
   const auto hosts = aWeights.m_context->Get<objectstore::Hosts>()->Read();
   weights->SetHosts(*hosts);
-  const auto target = aWeights.m_targets.find(weights->WeightsName());
-  if (target != aWeights.m_targets.end()) {
-    weights->Feed(TargetSeen{ target->second });
+  for (const auto& [name, version] : aWeights.m_targets) {
+    weights->Feed(name, TargetSeen{ version });
   }
   weights->Start();
 }
@@ -75,9 +74,7 @@
   core::WeightVersion& target = aWeights.m_targets[aNews.m_weights];
   target = std::max(target, aNews.m_version);
   for (const auto& [name, service] : aWeights.m_services) {
-    if (service->WeightsName() == aNews.m_weights) {
-      service->Feed(TargetSeen{ target });
-    }
+    service->Feed(aNews.m_weights, TargetSeen{ target });
   }
 }
 
@@ -114,14 +111,15 @@
         service->SetHosts(aHosts);
       }
     });
-  // Not linked in where engines are asked by the orders themselves.
-  if (const auto reports = aContext.Get<reports::Reports>()) {
-    reports->Subscribe([weights](const reports::EngineStatus& aStatus) {
-      for (const auto& [name, service] : weights->m_services) {
-        service->Feed(VersionObserved{ aStatus.m_engine, aStatus.m_version });
-      }
-    });
-  }
+  auto versions = std::make_shared<EngineVersions>();
+  versions->m_observe = [weights](const core::UpstreamId& aEngine,
+                                  core::WeightVersion aVersion) {
+    // Reports name one set of weights: the service's only one.
+    for (const auto& [name, service] : weights->m_services) {
+      service->FeedAll(VersionObserved{ aEngine, aVersion });
+    }
+  };
+  aContext.Provide(versions);
   // During an outage of the store a trainer's pull is the first to name a
   // version; the other hosts pass it on.
   aContext.Get<gossip::Gossip>()->SubscribeVersions(
@@ -156,12 +154,15 @@
 {
   boost::json::object dump;
   for (const auto& [name, service] : aContext.Get<Weights>()->m_services) {
-    const WaveState& state = service->State();
-    dump[name] = { { "epoch", state.m_epoch },
-                   { "target", state.m_target.m_number },
-                   { "engines", state.m_engines.size() },
-                   { "at_target", EnginesAtTarget(state) },
-                   { "orders", state.m_orders } };
+    boost::json::object waves;
+    for (const auto& [weights, state] : service->States()) {
+      waves[weights] = { { "epoch", state.m_epoch },
+                         { "target", state.m_target.m_number },
+                         { "engines", state.m_engines.size() },
+                         { "at_target", EnginesAtTarget(state) },
+                         { "orders", state.m_orders } };
+    }
+    dump[name] = std::move(waves);
   }
   return dump;
 }
@@ -169,12 +170,10 @@
 constexpr std::string_view kNeeds[] = { configuration::kModuleName,
                                         gossip::kModuleName,
                                         objectstore::kModuleName };
-constexpr std::string_view kAfter[] = { reports::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
   .m_needs = kNeeds,
-  .m_after = kAfter,
   .m_parseSettings = ParseSettings,
   .m_start = Start,
   .m_drain = Drain,
