--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -12,7 +12,7 @@
 /// Limits of a batch, from its route.
 struct BatchPolicy
 {
-  /// Failed runs or scorings after which an item is given up.
+  /// Failed runs after which an item is given up.
   uint32_t m_attempts = 3;
   bool m_singleVersion = false;
   /// Items that are not done by then are given up.
@@ -180,11 +180,14 @@
 uint64_t
 StartScore(BatchRun& aRun, size_t aItem);
 
+/// aAttempts: failures of the scorer, or the batch's limit if that is higher,
+/// after which the item is given up.
 void
 EndScore(BatchRun& aRun,
          size_t aItem,
          uint64_t aNumber,
          const ScoreEnding& aEnding,
+         uint32_t aAttempts,
          core::Instant aNow);
 
 /// Gives up what is past its time.
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -290,6 +290,7 @@
          size_t aItem,
          uint64_t aNumber,
          const ScoreEnding& aEnding,
+         uint32_t aAttempts,
          core::Instant aNow)
 {
   ItemState& item = aRun.m_items[aItem];
@@ -303,7 +304,9 @@
                },
                [&](const ScoreFailed&) {
                  item.m_failedScores += 1;
-                 if (item.m_failedScores >= aRun.m_policy.m_attempts) {
+                 const uint32_t limit =
+                   std::max(aAttempts, aRun.m_policy.m_attempts);
+                 if (item.m_failedScores >= limit) {
                    Decide(aRun, aItem, Lost{}, aNow);
                    return;
                  }
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -306,13 +306,15 @@
   const size_t loop = m_context.Traffic().NextIndex();
   aOwned->m_work[aItem] = { loop, call.m_abort };
   const uint64_t number = StartScore(aOwned->m_run, aItem);
-  auto done = [self = shared_from_this(), aOwned, aItem, number](
+  const uint32_t attempts = route->m_attempts;
+  auto done = [self = shared_from_this(), aOwned, aItem, number, attempts](
                 const ScoreEnding& aEnding) {
     if (!self->IsOwned(aOwned)) {
       return;
     }
     aOwned->m_work.erase(aItem);
-    EndScore(aOwned->m_run, aItem, number, aEnding, kernel::Now());
+    EndScore(
+      aOwned->m_run, aItem, number, aEnding, attempts, kernel::Now());
     self->Pump();
   };
   asio::co_spawn(
--- a/src/relay/internal/upstreamcodec.cpp
+++ b/src/relay/internal/upstreamcodec.cpp
@@ -4,10 +4,10 @@
 
 namespace {
 
-const UpstreamCodec*&
+UpstreamCodec&
 Registered()
 {
-  static const UpstreamCodec* registered = nullptr;
+  static UpstreamCodec registered;
   return registered;
 }
 
@@ -16,13 +16,13 @@
 UpstreamCodecRegistration::UpstreamCodecRegistration(
   const UpstreamCodec& aCodec)
 {
-  Registered() = &aCodec;
+  Registered() = aCodec;
 }
 
 const UpstreamCodec&
 CodecInUse()
 {
-  return *Registered();
+  return Registered();
 }
 
 } // namespace heatherdeal::relay
