--- a/src/gossip/decisions/members.cpp
+++ b/src/gossip/decisions/members.cpp
@@ -52,6 +52,18 @@
   }
 }
 
+/// True if the news is new here.
+bool
+TakeKind(GossipState& aState, const KindNews& aNews)
+{
+  uint64_t& known = aState.m_kinds[aNews.m_kind];
+  if (aNews.m_revision <= known) {
+    return false;
+  }
+  known = aNews.m_revision;
+  return true;
+}
+
 Digest
 MakeDigest(GossipState& aState)
 {
@@ -77,6 +89,11 @@
       digest.m_versions.push_back({ weights, version });
     }
   }
+  for (const auto& [kind, revision] : aState.m_kinds) {
+    if (digest.m_kinds.size() < kMaxKindsPerDigest) {
+      digest.m_kinds.push_back({ kind, revision });
+    }
+  }
   return digest;
 }
 
@@ -130,6 +147,17 @@
   for (const VersionNews& news : aEvent.m_digest.m_versions) {
     TakeVersion(aState, news, aEffects);
   }
+  bool passOn = false;
+  for (const KindNews& news : aEvent.m_digest.m_kinds) {
+    if (TakeKind(aState, news)) {
+      aEffects.push_back(KindHeard{ news });
+      passOn = true;
+    }
+  }
+  if (passOn) {
+    // What watches miss is urgent: it does not wait for the next round.
+    TellPeers(aState, aEffects);
+  }
   const HostNews& sender = aEvent.m_digest.m_hosts.front();
   if (sender.m_generation > aState.m_self.m_generation) {
     aEffects.push_back(FetchDocument{ sender.m_host, sender.m_generation });
@@ -177,6 +205,17 @@
   }
 }
 
+void
+On(GossipState& aState,
+   const ChangesMissed& aEvent,
+   core::Instant,
+   Effects& aEffects)
+{
+  if (TakeKind(aState, aEvent.m_news)) {
+    TellPeers(aState, aEffects);
+  }
+}
+
 void
 On(GossipState& aState, const LeavingStarted&, core::Instant, Effects& aEffects)
 {
--- a/src/gossip/digest.h
+++ b/src/gossip/digest.h
@@ -31,11 +31,21 @@
   bool operator==(const HostNews&) const = default;
 };
 
+/// A watch of this kind of objects missed changes up to a revision.
+struct KindNews
+{
+  std::string m_kind;
+  uint64_t m_revision = 0;
+
+  bool operator==(const KindNews&) const = default;
+};
+
 /// One message: the sender's own news first, then some that it has heard.
 struct Digest
 {
   std::vector<HostNews> m_hosts;
   std::vector<VersionNews> m_versions;
+  std::vector<KindNews> m_kinds;
 
   bool operator==(const Digest&) const = default;
 };
@@ -44,5 +54,6 @@
 inline constexpr size_t kMaxNameBytes = 64;
 inline constexpr size_t kMaxHostsPerDigest = 12;
 inline constexpr size_t kMaxVersionsPerDigest = 8;
+inline constexpr size_t kMaxKindsPerDigest = 4;
 
 } // namespace heatherdeal::gossip
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -23,6 +23,10 @@
   core::Endpoint m_listen;
   GossipPolicy m_policy;
   protocol::KeyRing m_keys;
+  /// Kinds whose changes must not be missed; one host after the other lists
+  /// them anew, so that each is listed once in m_refreshInterval.
+  std::vector<std::string> m_refreshKinds;
+  core::Duration m_refreshInterval = std::chrono::milliseconds(500);
 };
 
 /// Tells the other hosts of this system what this one knows, over UDP.
@@ -64,7 +68,9 @@
   void Run(const SendDigest& aEffect);
   void Run(const FetchDocument& aEffect);
   void Run(const VersionHeard& aEffect);
+  void Run(const KindHeard& aEffect);
   void Run(const LeavingHeard& aEffect);
+  void PlanRefresh();
   void SetHosts(std::span<const objectstore::HostEntry> aHosts);
   void PublishHeard();
   void Receive();
@@ -77,6 +83,7 @@
   boost::asio::ip::udp::endpoint m_sender;
   std::array<std::byte, protocol::kMaxFrameBytes + 1> m_buffer{};
   kernel::DeadlineTimer m_timer;
+  kernel::DeadlineTimer m_refresh;
   std::map<std::string, Peer> m_peers;
   std::vector<VersionListener> m_listeners;
   kernel::Published<NameSet> m_leaving;
--- a/src/gossip/gossipmodule.cpp
+++ b/src/gossip/gossipmodule.cpp
@@ -44,6 +44,9 @@
     aReader.IntegerOr("fanout", { 1, kMaxFanout }, settings.m_policy.m_fanout));
   settings.m_policy.m_piggyback = static_cast<uint32_t>(aReader.IntegerOr(
     "piggyback", { 0, kMaxHostsPerDigest - 1 }, settings.m_policy.m_piggyback));
+  settings.m_refreshKinds = aReader.TextsOr("refresh_kinds");
+  settings.m_refreshInterval = aReader.MillisecondsOr(
+    "refresh_interval_ms", kMilliseconds, settings.m_refreshInterval);
   settings.m_keys.m_active =
     static_cast<uint8_t>(aReader.IntegerOr("active_key", { 0, kMaxKey }, 0));
   aReader.ForEach(
--- a/src/gossip/internal/digestcodec.cpp
+++ b/src/gossip/internal/digestcodec.cpp
@@ -103,6 +103,22 @@
   return news;
 }
 
+void
+Save(Output& aArchive, const KindNews& aNews)
+{
+  SaveText(aArchive, aNews.m_kind);
+  aArchive(aNews.m_revision);
+}
+
+KindNews
+LoadKind(Input& aArchive)
+{
+  KindNews news;
+  news.m_kind = LoadText(aArchive);
+  aArchive(news.m_revision);
+  return news;
+}
+
 Digest
 Load(Input& aArchive)
 {
@@ -115,6 +131,10 @@
   for (uint8_t i = 0; i < versions; ++i) {
     digest.m_versions.push_back(LoadVersion(aArchive));
   }
+  const uint8_t kinds = LoadCount(aArchive, kMaxKindsPerDigest);
+  for (uint8_t i = 0; i < kinds; ++i) {
+    digest.m_kinds.push_back(LoadKind(aArchive));
+  }
   return digest;
 }
 
@@ -134,6 +154,10 @@
     for (const VersionNews& news : aDigest.m_versions) {
       Save(archive, news);
     }
+    archive(static_cast<uint8_t>(aDigest.m_kinds.size()));
+    for (const KindNews& news : aDigest.m_kinds) {
+      Save(archive, news);
+    }
   }
   const std::string text = stream.str();
   const auto* begin = reinterpret_cast<const std::byte*>(text.data());
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -7,6 +7,7 @@
 #include "gossip/internal/digestcodec.h"
 #include "http/client.h"
 #include "kernel/eventlog.h"
+#include "objectstore/objectstore.h"
 
 namespace heatherdeal::gossip {
 
@@ -51,6 +52,13 @@
   , m_settings(std::move(aSettings))
   , m_socket(aContext.Control().Context())
   , m_timer(aContext.Control(), [this] { Feed(RoundDue{}); })
+  , m_refresh(aContext.Control(), [this] {
+    const auto store = m_context.Get<objectstore::ObjectStore>();
+    for (const std::string& kind : m_settings.m_refreshKinds) {
+      store->Refresh(kind, UINT64_MAX);
+    }
+    PlanRefresh();
+  })
 {
   m_state.m_policy = m_settings.m_policy;
   m_state.m_self.m_host = aContext.Self().m_host;
@@ -92,8 +100,13 @@
     [self](std::span<const objectstore::HostEntry> aHosts) {
       self->SetHosts(aHosts);
     });
+  m_context.Get<objectstore::ObjectStore>()->SubscribeMissed(
+    [self](std::string_view aKind, uint64_t aRevision) {
+      self->Feed(ChangesMissed{ { std::string(aKind), aRevision } });
+    });
   Receive();
   Feed(RoundDue{});
+  PlanRefresh();
   return absl::OkStatus();
 }
 
@@ -248,6 +261,29 @@
   }
 }
 
+void
+Gossip::Run(const KindHeard& aEffect)
+{
+  m_context.Get<objectstore::ObjectStore>()->Refresh(
+    aEffect.m_news.m_kind, aEffect.m_news.m_revision);
+}
+
+void
+Gossip::PlanRefresh()
+{
+  if (m_settings.m_refreshKinds.empty()) {
+    return;
+  }
+  // Hosts draw their times apart from each other; together they list once in
+  // each interval.
+  const size_t hosts = m_state.m_members.size() + 1;
+  const core::Duration mean =
+    m_settings.m_refreshInterval * static_cast<int64_t>(hosts);
+  const auto jitter =
+    static_cast<int64_t>(m_state.m_random() % 1000) * mean.count() / 1000;
+  m_refresh.Set(kernel::Now() + mean / 2 + core::Duration(jitter));
+}
+
 void
 Gossip::Run(const LeavingHeard& aEffect)
 {
--- a/src/gossip/members.h
+++ b/src/gossip/members.h
@@ -39,6 +39,8 @@
   /// Hosts of the host list: whom messages may go to.
   std::vector<std::string> m_peers;
   std::map<std::string, core::WeightVersion> m_versions;
+  /// Revisions up to which watches of a kind have missed changes.
+  std::map<std::string, uint64_t> m_kinds;
   core::Instant m_nextRound{};
   /// How late the last round was: a slow host does not accuse others.
   core::Duration m_ownDelay{};
@@ -70,6 +72,12 @@
   VersionNews m_news;
 };
 
+/// Listing a kind has shown changes that a watch here had missed.
+struct ChangesMissed
+{
+  KindNews m_news;
+};
+
 struct LeavingStarted
 {};
 
@@ -78,6 +86,7 @@
                                  RoundDue,
                                  GenerationInForce,
                                  VersionLearned,
+                                 ChangesMissed,
                                  LeavingStarted>;
 
 struct SendDigest
@@ -99,6 +108,12 @@
   VersionNews m_news;
 };
 
+/// Another host has missed changes of a kind; this one may have too.
+struct KindHeard
+{
+  KindNews m_news;
+};
+
 /// A host's leaving state has changed.
 struct LeavingHeard
 {
@@ -107,7 +122,7 @@
 };
 
 using GossipEffect =
-  std::variant<SendDigest, FetchDocument, VersionHeard, LeavingHeard>;
+  std::variant<SendDigest, FetchDocument, VersionHeard, KindHeard, LeavingHeard>;
 
 void
 Apply(GossipState& aState,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -76,10 +76,12 @@
     std::shared_ptr<CallAbort> aAbort = nullptr);
 
   /// The same, and reads the whole answer.
-  boost::asio::awaitable<absl::StatusOr<Answer>> Call(core::Endpoint aPeer,
-                                                      Request aRequest,
-                                                      Reuse aReuse,
-                                                      core::Instant aDeadline);
+  boost::asio::awaitable<absl::StatusOr<Answer>> Call(
+    core::Endpoint aPeer,
+    Request aRequest,
+    Reuse aReuse,
+    core::Instant aDeadline,
+    std::shared_ptr<CallAbort> aAbort = nullptr);
 
   void GiveBack(std::unique_ptr<PooledConnection> aConnection);
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -383,10 +383,15 @@
 Client::Call(core::Endpoint aPeer,
              Request aRequest,
              Reuse aReuse,
-             core::Instant aDeadline)
+             core::Instant aDeadline,
+             std::shared_ptr<CallAbort> aAbort)
 {
   absl::StatusOr<std::unique_ptr<AnswerStream>> stream =
-    co_await Open(std::move(aPeer), std::move(aRequest), aReuse, aDeadline);
+    co_await Open(std::move(aPeer),
+                  std::move(aRequest),
+                  aReuse,
+                  aDeadline,
+                  std::move(aAbort));
   if (!stream.ok()) {
     co_return stream.status();
   }
--- a/src/objectstore/internal/objectcalls.cpp
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -61,13 +61,14 @@
 CallList(http::Client& aClient,
          core::Endpoint aPeer,
          ListRequest aList,
-         core::Instant aDeadline)
+         core::Instant aDeadline,
+         std::shared_ptr<http::CallAbort> aAbort)
 {
   ObjectList whole;
   for (;;) {
     http::Request request = CodecInUse().m_encodeList(aList);
     const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-      aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+      aPeer, std::move(request), http::Reuse::Allowed, aDeadline, aAbort);
     if (!answer.ok()) {
       co_return answer.status();
     }
--- a/src/objectstore/internal/objectcalls.h
+++ b/src/objectstore/internal/objectcalls.h
@@ -31,6 +31,7 @@
 CallList(http::Client& aClient,
          core::Endpoint aPeer,
          ListRequest aList,
-         core::Instant aDeadline);
+         core::Instant aDeadline,
+         std::shared_ptr<http::CallAbort> aAbort);
 
 } // namespace heatherdeal::objectstore
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -17,6 +18,8 @@
 
 namespace heatherdeal::objectstore {
 
+class KindWatch;
+
 struct ObjectStoreSettings
 {
   std::vector<core::Endpoint> m_endpoints;
@@ -38,6 +41,8 @@
   using ReadCallback = std::function<void(absl::StatusOr<StoredObject>)>;
   using WriteCallback = std::function<void(absl::StatusOr<uint64_t>)>;
   using WatchCallback = std::function<void(std::span<const StoredObject>)>;
+  using MissedCallback =
+    std::function<void(std::string_view aKind, uint64_t aRevision)>;
 
   ObjectStore(kernel::Context& aContext, ObjectStoreSettings aSettings);
 
@@ -65,7 +70,13 @@
   /// store: those missing after an outage are kept for a grace time.
   void WatchLapsing(std::string aKind, WatchCallback aChanged);
 
+  /// Lists a watched kind anew, if its watch has not come to that revision.
+  void Refresh(std::string_view aKind, uint64_t aRevision);
+  /// Calls back when listing anew has shown changes that a watch had missed.
+  void SubscribeMissed(MissedCallback aMissed);
+
 private:
+  void AnnounceMissed(std::string_view aKind, uint64_t aRevision);
   void StartWatch(std::string aKind,
                   core::Duration aLapseGrace,
                   WatchCallback aChanged);
@@ -76,6 +87,8 @@
   ObjectStoreSettings m_settings;
   CallBudgetState m_budget;
   std::shared_ptr<http::Clients> m_clients;
+  std::map<std::string, std::shared_ptr<KindWatch>, std::less<>> m_watches;
+  std::vector<MissedCallback> m_missed;
   uint64_t m_writes = 0;
   size_t m_nextEndpoint = 0;
 };
