--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -18,6 +18,8 @@
 constexpr core::Duration kFirstEventTime = std::chrono::seconds(5);
 // Longer than a change of weights holds a stream up.
 constexpr core::Duration kProgressTime = std::chrono::milliseconds(3500);
+// An engine refuses while it loads weights, or for want of a free place.
+constexpr core::Duration kRefusalTime = std::chrono::milliseconds(150);
 
 void
 LogEnd(const ItemRunTask& aTask,
@@ -162,6 +164,9 @@
     const bool foreign =
       std::holds_alternative<relay::ForeignAnswer>(reception.m_verdict);
     report.m_ending = RunRefused{};
+    if (!foreign) {
+      aTask.m_ticket->Refused(kernel::Now() + kRefusalTime);
+    }
     if (foreign) {
       report.m_ending = RunBroken{};
       stream->Abandon();
@@ -172,6 +177,13 @@
            report);
     co_return report;
   }
+  const auto& served = std::get<relay::Served>(reception.m_verdict);
+  if (stream->Head().m_status == kOk && served.m_proof.empty()) {
+    report.m_ending = RunBroken{};
+    stream->Abandon();
+    LogEnd(aTask, "unproved", "no proof with the answer", report);
+    co_return report;
+  }
   if (stream->Head().m_status != kOk) {
     report.m_ending = EndingOf(stream->Head().m_status);
     LogEnd(aTask, "failed", std::to_string(stream->Head().m_status), report);
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -23,6 +23,8 @@
 constexpr size_t kMaxScoresAtOnce = 32;
 constexpr core::Duration kDefaultGiveUp = std::chrono::seconds(40);
 
+// Engines that were left alone may take items again.
+constexpr core::Duration kEngineRetry = std::chrono::milliseconds(50);
 constexpr size_t kMaxPageBytes = 256 * 1024;
 
 /// The listed results from a position on, as many as fit into a page.
@@ -57,8 +59,10 @@
     engine.m_outstanding = meter.m_outstanding.load();
     const core::Instant ejectedUntil{ core::Duration(
       meter.m_ejectedUntil.load()) };
+    const core::Instant refusesUntil{ core::Duration(
+      meter.m_refusesUntil.load()) };
     engine.m_usable = !upstream.m_leaving && !meter.m_leaving.load() &&
-                      ejectedUntil <= now;
+                      ejectedUntil <= now && refusesUntil <= now;
     for (const objectstore::ServedWeights& weights : upstream.m_weights) {
       if (weights.m_name == aWeights) {
         engine.m_version = weights.m_version;
@@ -177,6 +181,9 @@
     if (batch->m_loaded) {
       Serve(batch);
       next = std::min(next, NextDeadline(batch->m_run, now));
+      if (NextToRun(batch->m_run, now)) {
+        next = std::min(next, now + kEngineRetry);
+      }
     }
     for (const Waiter& waiter : batch->m_waiters) {
       next = std::min(next, waiter.m_until);
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -71,6 +71,12 @@
     meter.m_ejection.m_until.time_since_epoch().count());
 }
 
+void
+Ticket::Refused(core::Instant aUntil)
+{
+  Chosen().m_meter->m_refusesUntil.store(aUntil.time_since_epoch().count());
+}
+
 Router::Router(std::string_view aOwnDomain)
   : m_ownDomain{ std::string(aOwnDomain) }
 {
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -25,6 +25,8 @@
   std::atomic<uint32_t> m_reported{ 0 };
   std::atomic<int64_t> m_reportedAt{ 0 };
   std::atomic<int64_t> m_ejectedUntil{ 0 };
+  /// It has refused a request lately and is left alone until then.
+  std::atomic<int64_t> m_refusesUntil{ 0 };
   /// Set by the upstream's own word.
   std::atomic<bool> m_leaving{ false };
   std::mutex m_mutex;
@@ -73,6 +75,8 @@
 
   void Succeeded();
   void Failed(core::Instant aNow);
+  /// The upstream has no room now.
+  void Refused(core::Instant aUntil);
 
 private:
   std::shared_ptr<const Pool> m_pool;
--- a/src/weights/internal/serviceweights.cpp
+++ b/src/weights/internal/serviceweights.cpp
@@ -192,7 +192,8 @@
   m_policy.m_floorPercent = engines->m_floorPercent;
   // The sets of weights share what may be loaded at once.
   const auto sets = static_cast<uint32_t>(names.size());
-  m_policy.m_concurrentLoads = std::max(1U, engines->m_concurrentLoads / sets);
+  m_policy.m_concurrentLoads =
+    (engines->m_concurrentLoads + sets - 1) / sets;
   for (const std::string& name : names) {
     m_waves[name].m_policy = m_policy;
   }
@@ -201,31 +202,49 @@
 void
 ServiceWeights::SetHosts(std::span<const objectstore::HostEntry> aHosts)
 {
-  EnginesListed listed;
-  m_endpoints.clear();
+  m_engines.clear();
   for (const objectstore::HostEntry& host : aHosts) {
-    if (host.m_service != m_service.m_name.m_value) {
-      continue;
+    if (host.m_service == m_service.m_name.m_value) {
+      m_engines.emplace(core::UpstreamId{ host.m_name }, host);
     }
-    const core::UpstreamId id{ host.m_name };
-    const bool checksFence =
-      std::holds_alternative<objectstore::ChecksFence>(host.m_fencing);
-    m_endpoints[id] = host.m_endpoint;
-    listed.m_engines.push_back({ id, checksFence, host.m_leaving });
   }
-  FeedAll(listed);
-  ObserveVersions(aHosts);
+  ShareEngines();
+  ObserveVersions();
 }
 
 void
-ServiceWeights::ObserveVersions(std::span<const objectstore::HostEntry> aHosts)
+ServiceWeights::ShareEngines()
 {
-  for (const objectstore::HostEntry& host : aHosts) {
-    if (host.m_service != m_service.m_name.m_value) {
-      continue;
+  std::map<core::UpstreamId, HeldVersions> held;
+  for (const auto& [id, engine] : m_engines) {
+    HeldVersions& versions = held[id];
+    for (const objectstore::ServedWeights& weights : engine.m_weights) {
+      versions[weights.m_name] = weights.m_version;
     }
-    for (const objectstore::ServedWeights& weights : host.m_weights) {
-      Feed(weights.m_name, VersionObserved{ { host.m_name }, weights.m_version });
+  }
+  HeldVersions targets;
+  for (const auto& [name, wave] : m_waves) {
+    targets[name] = wave.m_target;
+  }
+  m_assignment = AssignEngines(m_assignment, held, targets);
+  std::map<std::string, EnginesListed, std::less<>> lists;
+  for (const auto& [id, name] : m_assignment) {
+    const objectstore::HostEntry& engine = m_engines.at(id);
+    const bool checksFence =
+      std::holds_alternative<objectstore::ChecksFence>(engine.m_fencing);
+    lists[name].m_engines.push_back({ id, checksFence, engine.m_leaving });
+  }
+  for (const auto& [name, wave] : m_waves) {
+    Feed(name, lists[name]);
+  }
+}
+
+void
+ServiceWeights::ObserveVersions()
+{
+  for (const auto& [id, engine] : m_engines) {
+    for (const objectstore::ServedWeights& weights : engine.m_weights) {
+      Feed(weights.m_name, VersionObserved{ id, weights.m_version });
     }
   }
 }
@@ -279,7 +298,7 @@
                  SendOrder(m_context,
                            shared_from_this(),
                            OrderTask{ aEffect,
-                                      m_endpoints[aEffect.m_engine],
+                                      m_engines.at(aEffect.m_engine).m_endpoint,
                                       m_context.Self().m_host,
                                       std::string(aWeights) }),
                  asio::detached);
--- a/src/weights/internal/serviceweights.h
+++ b/src/weights/internal/serviceweights.h
@@ -8,6 +8,7 @@
 #include "kernel/deadlinetimer.h"
 #include "lease/leaseclient.h"
 #include "objectstore/hosts.h"
+#include "weights/assignment.h"
 #include "weights/wave.h"
 
 namespace heatherdeal::weights {
@@ -42,13 +43,17 @@
 
 private:
   void Run(std::string_view aWeights, const OrderLoad& aEffect);
-  void ObserveVersions(std::span<const objectstore::HostEntry> aHosts);
+  void ObserveVersions();
+  /// Tells each wave which engines it keeps up to date.
+  void ShareEngines();
 
   kernel::Context& m_context;
   configuration::Service m_service;
   WavePolicy m_policy;
   Waves m_waves;
-  std::map<core::UpstreamId, core::Endpoint> m_endpoints;
+  /// The engines of the service, from the host list.
+  std::map<core::UpstreamId, objectstore::HostEntry> m_engines;
+  Assignment m_assignment;
   std::shared_ptr<lease::LeaseClient> m_lease;
   kernel::DeadlineTimer m_timer;
 };
--- /dev/null
+++ b/src/weights/tests/assignmenttest.cpp
@@ -0,0 +1,86 @@
+#include "weights/assignment.h"
+
+#include <algorithm>
+
+#include "catch2/catch.hpp"
+
+namespace heatherdeal::weights {
+
+namespace {
+
+using Engines = std::map<core::UpstreamId, HeldVersions>;
+
+const HeldVersions kTwoSets{ { "a", { 4 } }, { "b", { 4 } } };
+
+Engines
+Fresh(size_t aCount)
+{
+  Engines engines;
+  for (size_t i = 0; i < aCount; ++i) {
+    engines[{ "e" + std::to_string(i) }] = { { "a", { 1 } }, { "b", { 1 } } };
+  }
+  return engines;
+}
+
+size_t
+CountOf(const Assignment& aAssignment, std::string_view aName)
+{
+  return static_cast<size_t>(
+    std::ranges::count(aAssignment, aName, [](const auto& aEntry) {
+      return std::string_view(aEntry.second);
+    }));
+}
+
+} // namespace
+
+TEST_CASE("engines are shared out evenly among sets of weights")
+{
+  const Assignment assignment = AssignEngines({}, Fresh(9), kTwoSets);
+  CHECK(assignment.size() == 9);
+  CHECK(CountOf(assignment, "a") == 5);
+  CHECK(CountOf(assignment, "b") == 4);
+}
+
+TEST_CASE("one set has all engines")
+{
+  const HeldVersions one{ { "a", { 2 } } };
+  CHECK(CountOf(AssignEngines({}, Fresh(3), one), "a") == 3);
+}
+
+TEST_CASE("an engine keeps its set when others come and go")
+{
+  const Assignment before = AssignEngines({}, Fresh(4), kTwoSets);
+  Engines later = Fresh(6);
+  later.erase({ "e0" });
+  const Assignment after = AssignEngines(before, later, kTwoSets);
+  for (const auto& [engine, name] : before) {
+    if (later.contains(engine)) {
+      CHECK(after.at(engine) == name);
+    }
+  }
+}
+
+TEST_CASE("a new holder reads the sets off the versions")
+{
+  Engines engines = Fresh(4);
+  engines[{ "e0" }]["b"] = { 3 };
+  engines[{ "e1" }]["b"] = { 4 };
+  const Assignment assignment = AssignEngines({}, engines, kTwoSets);
+  CHECK(assignment.at({ "e0" }) == "b");
+  CHECK(assignment.at({ "e1" }) == "b");
+  CHECK(CountOf(assignment, "a") == 2);
+}
+
+TEST_CASE("a set that has lost its engines takes some from the largest")
+{
+  Engines engines = Fresh(4);
+  Assignment before;
+  for (const auto& [engine, held] : engines) {
+    before[engine] = "a";
+  }
+  const Assignment after = AssignEngines(before, engines, kTwoSets);
+  CHECK(CountOf(after, "a") == 2);
+  CHECK(CountOf(after, "b") == 2);
+}
+
+} // namespace heatherdeal::weights
