--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -132,6 +132,7 @@
   struct OwnedBatch
   {
     BatchId m_id;
+    bool m_loading = false;
     bool m_loaded = false;
     BatchRun m_run;
     std::vector<Waiter> m_waiters;
@@ -160,9 +161,11 @@
   void StopRunning(const BatchId& aBatch);
 
   // Loading from the store, in internal/loading.cpp.
-  void Load(const OwnedPtr& aOwned);
+  void EnsureLoading(const OwnedPtr& aOwned);
+  void LoadItems(const OwnedPtr& aOwned);
   void LoadChunk(const OwnedPtr& aOwned, uint64_t aNumber);
-  void LoadLater(const OwnedPtr& aOwned);
+  /// Runs a task again after a failure of the store.
+  void Later(std::function<void()> aTask);
   void Activate(const OwnedPtr& aOwned,
                 std::shared_ptr<const Submission> aSubmission);
 
@@ -185,7 +188,6 @@
   void ReadTakenChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk);
   void AbortWork(OwnedBatch& aOwned);
   void AnswerWaiters(OwnedBatch& aOwned);
-  void WriteLater(const OwnedPtr& aOwned, const ResultChunk& aChunk);
   BatchPolicy PolicyOf(const Submission& aSubmission) const;
   bool IsOwned(const OwnedPtr& aOwned) const;
 
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -70,6 +70,7 @@
   const auto owned = m_owned.find(id);
   if (owned != m_owned.end()) {
     if (!owned->second->m_loaded) {
+      EnsureLoading(owned->second);
       aDone(CannotTell{ "the batch is being loaded" });
       return;
     }
@@ -101,6 +102,7 @@
     return;
   }
   if (!owned->second->m_loaded) {
+    EnsureLoading(owned->second);
     aDone(CannotTell{ "the batch is being loaded" });
     return;
   }
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -14,27 +14,36 @@
 } // namespace
 
 void
-Batches::LoadLater(const OwnedPtr& aOwned)
+Batches::EnsureLoading(const OwnedPtr& aOwned)
+{
+  if (aOwned->m_loading) {
+    return;
+  }
+  aOwned->m_loading = true;
+  LoadItems(aOwned);
+}
+
+void
+Batches::Later(std::function<void()> aTask)
 {
   auto timer = std::make_shared<std::unique_ptr<kernel::DeadlineTimer>>();
   *timer = std::make_unique<kernel::DeadlineTimer>(
-    m_context.Control(), [self = shared_from_this(), aOwned, timer] {
+    m_context.Control(),
+    [self = shared_from_this(), task = std::move(aTask), timer] {
       const auto keep = std::move(*timer);
-      if (self->IsOwned(aOwned)) {
-        self->Load(aOwned);
-      }
+      task();
     });
   (*timer)->Set(kernel::Now() + kRetryAfter);
 }
 
 void
-Batches::Load(const OwnedPtr& aOwned)
+Batches::LoadItems(const OwnedPtr& aOwned)
 {
   m_store->Read(
     { std::string(kItemsKind), aOwned->m_id.m_value },
     objectstore::CallPriority::Configuration,
     [self = shared_from_this(),
-     aOwned](absl::StatusOr<objectstore::StoredObject> aObject) {
+     aOwned](const absl::StatusOr<objectstore::StoredObject>& aObject) {
       if (!self->IsOwned(aOwned)) {
         return;
       }
@@ -47,7 +56,7 @@
           "load-failed",
           { { "batch", aOwned->m_id.m_value },
             { "reason", http::DescribeStatus(submission.status()) } });
-        self->LoadLater(aOwned);
+        self->Later([self, aOwned] { self->LoadItems(aOwned); });
         return;
       }
       auto kept = std::make_shared<const Submission>(*std::move(submission));
@@ -59,11 +68,14 @@
 void
 Batches::LoadChunk(const OwnedPtr& aOwned, uint64_t aNumber)
 {
+  if (!IsOwned(aOwned)) {
+    return;
+  }
   m_store->Read(
     { std::string(kResultsKind), ChunkName(aOwned->m_id.m_value, aNumber) },
     objectstore::CallPriority::Configuration,
     [self = shared_from_this(), aOwned, aNumber](
-      absl::StatusOr<objectstore::StoredObject> aObject) {
+      const absl::StatusOr<objectstore::StoredObject>& aObject) {
       if (!self->IsOwned(aOwned)) {
         return;
       }
@@ -74,7 +86,8 @@
       absl::StatusOr<ResultChunk> chunk =
         aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
       if (!chunk.ok()) {
-        self->LoadLater(aOwned);
+        self->Later(
+          [self, aOwned, aNumber] { self->LoadChunk(aOwned, aNumber); });
         return;
       }
       AdoptChunk(aOwned->m_run, *std::move(chunk));
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -80,7 +80,10 @@
     auto taken = std::make_shared<OwnedBatch>();
     taken->m_id = aPlacement.m_batch;
     m_owned.emplace(id, taken);
-    Load(taken);
+    // What has ended is loaded when somebody asks for it.
+    if (!aPlacement.m_ended) {
+      EnsureLoading(taken);
+    }
     return;
   }
   if (own && aPlacement.m_ended && owned->second->m_loaded) {
@@ -220,13 +223,18 @@
   std::vector<OwnedPtr> expired;
   for (const auto& [id, owned] : m_owned) {
     const auto placement = m_placements.find(id);
-    if (owned->m_loaded && placement != m_placements.end() &&
+    if (placement != m_placements.end() &&
         placement->second.m_acceptedAt < oldest) {
       expired.push_back(owned);
     }
   }
   for (const OwnedPtr& owned : expired) {
     const std::string& id = owned->m_id.m_value;
+    if (!owned->m_loaded) {
+      // The chunks have to be known to be removed.
+      EnsureLoading(owned);
+      continue;
+    }
     for (uint64_t i = 0; i < owned->m_run.m_nextChunk; ++i) {
       m_store->Remove({ std::string(kResultsKind), ChunkName(id, i) });
     }
@@ -269,8 +277,11 @@
 Batches::HasOpenBatches() const
 {
   for (const auto& [id, owned] : m_owned) {
-    const bool open = !owned->m_loaded || (!owned->m_run.m_ended &&
-                                           !IsComplete(owned->m_run));
+    const auto placement = m_placements.find(id);
+    const bool ended =
+      placement != m_placements.end() && placement->second.m_ended;
+    const bool open =
+      !ended && (!owned->m_loaded || !IsComplete(owned->m_run));
     if (open) {
       return true;
     }
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -344,6 +344,9 @@
 void
 Batches::WriteChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk)
 {
+  if (!IsOwned(aOwned)) {
+    return;
+  }
   m_store->Write(
     { std::string(kResultsKind),
       ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
@@ -371,7 +374,7 @@
         return;
       }
       self->m_context.Metrics().Get("batches.chunk_write_failed").Add();
-      self->WriteLater(aOwned, aChunk);
+      self->Later([self, aOwned, aChunk] { self->WriteChunk(aOwned, aChunk); });
     });
 }
 
@@ -390,7 +393,7 @@
       absl::StatusOr<ResultChunk> found =
         aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
       if (!found.ok()) {
-        self->WriteLater(aOwned, aChunk);
+        self->Later([self, aOwned, aChunk] { self->WriteChunk(aOwned, aChunk); });
         return;
       }
       ChunkTaken(aOwned->m_run, *std::move(found), kernel::Now());
@@ -398,21 +401,6 @@
     });
 }
 
-void
-Batches::WriteLater(const OwnedPtr& aOwned, const ResultChunk& aChunk)
-{
-  constexpr core::Duration kRetryAfter = std::chrono::milliseconds(250);
-  auto timer = std::make_shared<std::unique_ptr<kernel::DeadlineTimer>>();
-  *timer = std::make_unique<kernel::DeadlineTimer>(
-    m_context.Control(), [self = shared_from_this(), aOwned, aChunk, timer] {
-      const auto keep = std::move(*timer);
-      if (self->IsOwned(aOwned)) {
-        self->WriteChunk(aOwned, aChunk);
-      }
-    });
-  (*timer)->Set(kernel::Now() + kRetryAfter);
-}
-
 void
 Batches::AbortWork(OwnedBatch& aOwned)
 {
