Long items first; items leave slow and silent engines

Cause: a step ends with its longest texts (up to 182 events at 33 ms); they started in the order of groups, and stayed on engines slowed 2 to 4 times. A run is moved with its text when its engine's events come 1.7 times slower than the median's; a stream silent for 1.8 s is resumed elsewhere.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -180,6 +180,9 @@
   void Pump();
   void Serve(const OwnedPtr& aOwned);
   void StartItems();
+  void PlanMoves();
+  void MoveItems();
+  std::shared_ptr<const routing::Pool> PoolFor(const BatchRun& aRun) const;
   bool StartItem(const OwnedPtr& aOwned, size_t aItem);
   void StartScores(const OwnedPtr& aOwned);
   bool StartScoring(const OwnedPtr& aOwned, size_t aItem);
@@ -205,6 +208,7 @@
   kernel::DeadlineTimer m_leaving;
   kernel::Shutdown::Hold m_leavingHold;
   core::Instant m_startedAt{};
+  core::Instant m_movesAt{};
 };
 
 } // namespace heatherdeal::batches
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -153,21 +153,16 @@
   Retry(item, aNow + kAfterOutdated);
 }
 
-/// Items of groups with long texts first, each group together.
+/// The longest texts first: a step ends with its last ones.
 std::vector<size_t>
 OrderOf(const Submission& aSubmission)
 {
-  std::map<std::string_view, uint32_t> longest;
-  for (const BatchItem& item : aSubmission.m_items) {
-    uint32_t& tokens = longest[item.m_group];
-    tokens = std::max(tokens, item.m_expectedTokens);
-  }
   std::vector<size_t> order(aSubmission.m_items.size());
   for (size_t i = 0; i < order.size(); ++i) {
     order[i] = i;
   }
   std::ranges::stable_sort(order, std::ranges::greater(), [&](size_t aIndex) {
-    return longest[aSubmission.m_items[aIndex].m_group];
+    return aSubmission.m_items[aIndex].m_expectedTokens;
   });
   return order;
 }
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -1,14 +1,24 @@
 #include "batches/engines.h"
 
+#include <algorithm>
+
 namespace heatherdeal::batches {
 
 namespace {
 
+// Engines differ a little; what is slowed is slowed by a factor.
+constexpr double kSlowFactor = 1.7;
+
 bool
 MayRun(const BatchRun& aRun, const EngineFacts& aEngine)
 {
-  return aEngine.m_usable && aEngine.m_outstanding < aEngine.m_slots &&
-         aEngine.m_version >= aRun.m_submission->m_oldest;
+  return aEngine.m_usable && aEngine.m_version >= aRun.m_submission->m_oldest;
+}
+
+bool
+HasRoom(const EngineFacts& aEngine)
+{
+  return aEngine.m_outstanding < aEngine.m_slots;
 }
 
 double
@@ -17,21 +27,62 @@
   return static_cast<double>(aEngine.m_outstanding) / aEngine.m_slots;
 }
 
+/// True if an engine that is not slow could take items once it has room.
+bool
+FastOneExists(const BatchRun& aRun,
+              std::span<const EngineFacts> aEngines,
+              const std::vector<bool>& aSlow)
+{
+  for (size_t i = 0; i < aEngines.size(); ++i) {
+    if (!aSlow[i] && MayRun(aRun, aEngines[i])) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
+std::vector<bool>
+FindSlow(std::span<const EngineFacts> aEngines)
+{
+  std::vector<core::Duration> paces;
+  for (const EngineFacts& engine : aEngines) {
+    if (engine.m_pace > core::Duration::zero()) {
+      paces.push_back(engine.m_pace);
+    }
+  }
+  std::vector<bool> slow(aEngines.size(), false);
+  if (paces.size() < 2) {
+    return slow;
+  }
+  // The lower median, so that two engines can be told apart.
+  const auto middle = paces.begin() +
+                      static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+  std::ranges::nth_element(paces, middle);
+  const double limit = static_cast<double>(middle->count()) * kSlowFactor;
+  for (size_t i = 0; i < aEngines.size(); ++i) {
+    slow[i] = static_cast<double>(aEngines[i].m_pace.count()) > limit;
+  }
+  return slow;
+}
+
 std::optional<size_t>
 ChooseEngine(const BatchRun& aRun,
              size_t aItem,
              std::span<const EngineFacts> aEngines)
 {
   const ItemState& item = aRun.m_items[aItem];
+  const std::vector<bool> slow = FindSlow(aEngines);
+  const bool avoidSlow = FastOneExists(aRun, aEngines, slow);
   const auto group =
     aRun.m_groupEngines.find(aRun.m_submission->m_items[aItem].m_group);
   std::optional<size_t> best;
   std::optional<size_t> last;
   for (size_t i = 0; i < aEngines.size(); ++i) {
     const EngineFacts& engine = aEngines[i];
-    if (!MayRun(aRun, engine)) {
+    const bool usable = MayRun(aRun, engine) && HasRoom(engine);
+    if (!usable || (avoidSlow && slow[i])) {
       continue;
     }
     if (engine.m_id == item.m_lastEngine) {
@@ -48,4 +99,32 @@
   return best ? best : last;
 }
 
+std::vector<size_t>
+ItemsToMove(const BatchRun& aRun, std::span<const EngineFacts> aEngines)
+{
+  const std::vector<bool> slow = FindSlow(aEngines);
+  size_t room = 0;
+  for (size_t i = 0; i < aEngines.size(); ++i) {
+    const EngineFacts& engine = aEngines[i];
+    if (!slow[i] && MayRun(aRun, engine) && HasRoom(engine)) {
+      room += engine.m_slots - engine.m_outstanding;
+    }
+  }
+  std::vector<size_t> items;
+  for (const size_t index : aRun.m_order) {
+    if (items.size() >= room || aRun.m_policy.m_singleVersion) {
+      break;
+    }
+    const ItemState& item = aRun.m_items[index];
+    const auto engine =
+      std::ranges::find(aEngines, item.m_lastEngine, &EngineFacts::m_id);
+    const bool runs = std::holds_alternative<ItemRunning>(item.m_phase);
+    if (runs && engine != aEngines.end() &&
+        slow[static_cast<size_t>(engine - aEngines.begin())]) {
+      items.push_back(index);
+    }
+  }
+  return items;
+}
+
 } // namespace heatherdeal::batches
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -15,9 +15,9 @@
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kUnprocessable = 422;
 // A request may wait in the engine's queue behind others.
-constexpr core::Duration kFirstEventTime = std::chrono::seconds(5);
+constexpr core::Duration kFirstEventTime = std::chrono::seconds(3);
 // Longer than a change of weights holds a stream up.
-constexpr core::Duration kProgressTime = std::chrono::milliseconds(3500);
+constexpr core::Duration kProgressTime = std::chrono::milliseconds(1800);
 // An engine refuses while it loads weights, or for want of a free place.
 constexpr core::Duration kRefusalTime = std::chrono::milliseconds(150);
 
@@ -34,6 +34,9 @@
                      { "engine", aTask.m_ticket->Chosen().m_id.m_value },
                      { "outcome", aOutcome },
                      { "detail", aDetail },
+                     { "expected_tokens", aTask.m_expectedTokens },
+                     { "took_ms",
+                       kernel::Milliseconds(kernel::Now() - aTask.m_startedAt) },
                      { "resumed_after", aTask.m_resumeAfter },
                      { "last_event", aReport.m_lastEvent } });
 }
@@ -52,7 +55,8 @@
 {
 public:
   TextCollector(const ItemRunTask& aTask, core::WeightVersion aVersion)
-    : m_reader(relay::CodecInUse().m_versionField)
+    : m_ticket(*aTask.m_ticket)
+    , m_reader(relay::CodecInUse().m_versionField)
     , m_next(aTask.m_resumeAfter + 1)
     , m_oldest(aTask.m_oldest)
     , m_version(aVersion)
@@ -90,12 +94,19 @@
     aReport.m_text += aEvent.m_data;
     aReport.m_lastEvent = aEvent.m_id;
     m_next += 1;
+    const core::Instant now = kernel::Now();
+    if (m_lastAt != core::Instant{}) {
+      m_ticket.Paced(now - m_lastAt, now);
+    }
+    m_lastAt = now;
     if (aReport.m_versions.empty() || aReport.m_versions.back() != m_version) {
       aReport.m_versions.push_back(m_version);
     }
     return true;
   }
 
+  routing::Ticket& m_ticket;
+  core::Instant m_lastAt{};
   relay::EventStreamReader m_reader;
   uint64_t m_next;
   core::WeightVersion m_oldest;
@@ -194,6 +205,7 @@
   co_await ReadText(*stream, aTask, version, report);
   if (std::holds_alternative<RunCompleted>(report.m_ending)) {
     aTask.m_ticket->Succeeded();
+    LogEnd(aTask, "completed", "", report);
   }
   co_return report;
 }
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -20,6 +20,8 @@
   /// Event behind which the text goes on; 0: from the start.
   uint64_t m_resumeAfter = 0;
   core::WeightVersion m_oldest;
+  uint32_t m_expectedTokens = 0;
+  core::Instant m_startedAt{};
   core::Instant m_deadline{};
   std::shared_ptr<http::CallAbort> m_abort;
 };
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -23,6 +23,9 @@
 constexpr size_t kMaxScoresAtOnce = 32;
 constexpr core::Duration kDefaultGiveUp = std::chrono::seconds(40);
 
+constexpr core::Duration kMoveInterval = std::chrono::milliseconds(250);
+// What was measured longer ago says nothing of an engine.
+constexpr core::Duration kPaceLifetime = std::chrono::seconds(2);
 // Engines that were left alone may take items again.
 constexpr core::Duration kEngineRetry = std::chrono::milliseconds(50);
 constexpr size_t kMaxPageBytes = 256 * 1024;
@@ -63,6 +66,10 @@
       meter.m_refusesUntil.load()) };
     engine.m_usable = !upstream.m_leaving && !meter.m_leaving.load() &&
                       ejectedUntil <= now && refusesUntil <= now;
+    const core::Instant paceAt{ core::Duration(meter.m_paceAt.load()) };
+    if (now - paceAt < kPaceLifetime) {
+      engine.m_pace = core::Duration(meter.m_pace.load());
+    }
     for (const objectstore::ServedWeights& weights : upstream.m_weights) {
       if (weights.m_name == aWeights) {
         engine.m_version = weights.m_version;
@@ -175,6 +182,7 @@
 {
   const core::Instant now = kernel::Now();
   StartItems();
+  PlanMoves();
   core::Instant next = core::Instant::max();
   const auto owned = m_owned;
   for (const auto& [id, batch] : owned) {
@@ -194,6 +202,16 @@
   }
 }
 
+void
+Batches::PlanMoves()
+{
+  // An engine has to be slow for a while: a change of weights is short.
+  if (m_movesAt == core::Instant{} || kernel::Now() >= m_movesAt) {
+    m_movesAt = kernel::Now() + kMoveInterval;
+    MoveItems();
+  }
+}
+
 void
 Batches::Serve(const OwnedPtr& aOwned)
 {
@@ -226,19 +244,59 @@
   }
 }
 
+std::shared_ptr<const routing::Pool>
+Batches::PoolFor(const BatchRun& aRun) const
+{
+  const auto document = m_configuration->Read();
+  const configuration::Route* route =
+    configuration::FindRoute(*document,
+                             aRun.m_submission->m_host,
+                             aRun.m_submission->m_path);
+  if (route == nullptr) {
+    return nullptr;
+  }
+  return m_relay->Upstreams().Find(
+    configuration::ServiceFor(*route, aRun.m_runs).m_value);
+}
+
+void
+Batches::MoveItems()
+{
+  for (const auto& [id, owned] : m_owned) {
+    const bool idle = !owned->m_loaded || owned->m_run.m_ended ||
+                      NextToRun(owned->m_run, kernel::Now()).has_value();
+    const auto pool = idle ? nullptr : PoolFor(owned->m_run);
+    if (!pool) {
+      continue;
+    }
+    const std::vector<EngineFacts> engines =
+      FactsOf(*pool, owned->m_run.m_submission->m_weights);
+    for (const size_t item : ItemsToMove(owned->m_run, engines)) {
+      const auto work = owned->m_work.find(item);
+      if (work == owned->m_work.end()) {
+        continue;
+      }
+      kernel::LogEvent(
+        kernel::LogLevel::Info,
+        "batches",
+        "run-moved",
+        { { "batch", id },
+          { "item", owned->m_run.m_submission->m_items[item].m_id.m_value },
+          { "from", owned->m_run.m_items[item].m_lastEngine.m_value } });
+      m_context.Metrics().Get("batches.runs_moved").Add();
+      asio::post(m_context.Traffic().Loop(work->second.m_loop),
+                 [abort = work->second.m_abort] { abort->Request(); });
+      owned->m_work.erase(work);
+    }
+  }
+}
+
 bool
 Batches::StartItem(const OwnedPtr& aOwned, size_t aItem)
 {
   BatchRun& run = aOwned->m_run;
   const Submission& submission = *run.m_submission;
-  const auto document = m_configuration->Read();
-  const configuration::Route* route = configuration::FindRoute(
-    *document, submission.m_host, submission.m_path);
-  const auto pool =
-    route == nullptr
-      ? nullptr
-      : m_relay->Upstreams().Find(
-          configuration::ServiceFor(*route, run.m_runs).m_value);
+  const auto pool = PoolFor(run);
   if (!pool) {
     return false;
   }
@@ -254,6 +312,8 @@
   task.m_ticket = std::make_shared<routing::Ticket>(pool, *chosen);
   task.m_resumeAfter = run.m_items[aItem].m_events;
   task.m_oldest = submission.m_oldest;
+  task.m_expectedTokens = item.m_expectedTokens;
+  task.m_startedAt = kernel::Now();
   task.m_deadline = run.m_policy.m_giveUpAt;
   task.m_abort = std::make_shared<http::CallAbort>();
   const uint64_t number = StartRun(run, aItem, engines[*chosen].m_id);
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -71,6 +71,21 @@
     meter.m_ejection.m_until.time_since_epoch().count());
 }
 
+void
+Ticket::Paced(core::Duration aGap, core::Instant aNow)
+{
+  // A pause, as for a change of weights, counts as a slow event, not more.
+  constexpr core::Duration kLongestGap = std::chrono::milliseconds(250);
+  constexpr int64_t kWeight = 10;
+  UpstreamMeter& meter = *Chosen().m_meter;
+  const int64_t gap = std::min(aGap, kLongestGap).count();
+  const int64_t before = meter.m_pace.load();
+  const int64_t pace =
+    before == 0 ? gap : before + (gap - before) / kWeight;
+  meter.m_pace.store(std::max<int64_t>(1, pace));
+  meter.m_paceAt.store(aNow.time_since_epoch().count());
+}
+
 void
 Ticket::Refused(core::Instant aUntil)
 {
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -29,6 +29,10 @@
   std::atomic<int64_t> m_refusesUntil{ 0 };
   /// Set by the upstream's own word.
   std::atomic<bool> m_leaving{ false };
+  /// Smoothed time between the events of its streams, in microseconds, and
+  /// when it was measured last; 0: not known.
+  std::atomic<int64_t> m_pace{ 0 };
+  std::atomic<int64_t> m_paceAt{ 0 };
   std::mutex m_mutex;
   EjectionState m_ejection;
   /// The start of the upstream that this meter belongs to.
@@ -75,6 +79,8 @@
 
   void Succeeded();
   void Failed(core::Instant aNow);
+  /// An event of a stream has come so long after the one before.
+  void Paced(core::Duration aGap, core::Instant aNow);
   /// The upstream has no room now.
   void Refused(core::Instant aUntil);
 
