Entry hosts follow rollout hosts in place of watching the store

Cause: each change of a worker's entry answered twelve watches; calls to the store were the largest price. Entry hosts ask a rollout host of their failure domain for what it watches, in the own encoding, and fall back to the store. Watches end before the store's history does (a watch of 25 s met 410).

--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -200,6 +200,7 @@
     LogEnd(aTask, "failed", std::to_string(stream->Head().m_status), report);
     co_return report;
   }
+  aTask.m_ticket->Accepted();
   const core::WeightVersion version =
     reception.m_version.value_or(core::WeightVersion{});
   co_await ReadText(*stream, aTask, version, report);
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -23,6 +23,8 @@
 constexpr size_t kMaxScoresAtOnce = 32;
 constexpr core::Duration kDefaultGiveUp = std::chrono::seconds(40);
 
+// An engine that has refused is tried by one item in this time.
+constexpr core::Duration kTrialTime = std::chrono::milliseconds(120);
 constexpr core::Duration kMoveInterval = std::chrono::milliseconds(250);
 // What was measured longer ago says nothing of an engine.
 constexpr core::Duration kPaceLifetime = std::chrono::seconds(2);
@@ -310,6 +312,11 @@
   task.m_request = RequestOf(submission, item);
   task.m_itemId = item.m_id.m_value;
   task.m_ticket = std::make_shared<routing::Ticket>(pool, *chosen);
+  routing::UpstreamMeter& meter = *task.m_ticket->Chosen().m_meter;
+  if (meter.m_refusals.load() > 0) {
+    const core::Instant until = kernel::Now() + kTrialTime;
+    meter.m_refusesUntil.store(until.time_since_epoch().count());
+  }
   task.m_resumeAfter = run.m_items[aItem].m_events;
   task.m_oldest = submission.m_oldest;
   task.m_expectedTokens = item.m_expectedTokens;
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -26,6 +26,8 @@
   /// Kinds whose changes must not be missed; one host after the other lists
   /// them anew, so that each is listed once in m_refreshInterval.
   std::vector<std::string> m_refreshKinds;
+  /// Hosts of this role pass on what they watch; "": nobody is asked.
+  std::string m_relayRole;
   core::Duration m_refreshInterval = std::chrono::milliseconds(500);
 };
 
@@ -61,6 +63,8 @@
   {
     boost::asio::ip::udp::endpoint m_gossip;
     core::Endpoint m_http;
+    std::string m_role;
+    core::FailureDomainId m_failureDomain;
   };
   using NameSet = std::map<std::string, bool, std::less<>>;
 
@@ -71,6 +75,7 @@
   void Run(const KindHeard& aEffect);
   void Run(const LeavingHeard& aEffect);
   void PlanRefresh();
+  void ChooseRelays();
   void SetHosts(std::span<const objectstore::HostEntry> aHosts);
   void PublishHeard();
   void Receive();
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -183,6 +183,33 @@
     }
   }
   m_heard.Publish(std::move(heard));
+  ChooseRelays();
+}
+
+void
+Gossip::ChooseRelays()
+{
+  if (m_settings.m_relayRole.empty()) {
+    return;
+  }
+  const std::string& own = m_context.Self().m_failureDomain;
+  std::vector<core::Endpoint> near;
+  std::vector<core::Endpoint> far;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.m_role == m_settings.m_relayRole && IsAlive(name)) {
+      const bool isNear = peer.m_failureDomain.m_value == own;
+      (isNear ? near : far).push_back(peer.m_http);
+    }
+  }
+  // Hosts without a relay of their domain spread over the others.
+  if (!far.empty()) {
+    const size_t first =
+      std::hash<std::string>()(m_context.Self().m_host) % far.size();
+    std::rotate(
+      far.begin(), far.begin() + static_cast<std::ptrdiff_t>(first), far.end());
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  m_context.Get<objectstore::ObjectStore>()->SetRelays(near);
 }
 
 void
@@ -201,10 +228,13 @@
       continue;
     }
     m_peers[host.m_name] = { udp::endpoint(address, host.m_gossipPort),
-                             host.m_endpoint };
+                             host.m_endpoint,
+                             host.m_service,
+                             host.m_failureDomain };
     listed.m_hosts.push_back(host.m_name);
   }
   Feed(listed);
+  ChooseRelays();
 }
 
 void
@@ -290,6 +320,7 @@
   NameSet leaving = *m_leaving.Read();
   leaving[aEffect.m_host] = aEffect.m_leaving;
   m_leaving.Publish(std::move(leaving));
+  ChooseRelays();
 }
 
 void
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -1,5 +1,7 @@
 #include "objectstore/internal/kindwatch.h"
 
+#include "boost/asio/post.hpp"
+
 #include "core/failure.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
@@ -16,6 +18,10 @@
 // Waits of a watch while lapsed objects are kept.
 constexpr core::Duration kLeastWait = std::chrono::milliseconds(10);
 constexpr core::Duration kMostWait = std::chrono::seconds(2);
+// A relay that has stopped is noticed within the sum of both.
+constexpr core::Duration kRelayWait = std::chrono::milliseconds(700);
+constexpr core::Duration kRelayGrace = std::chrono::milliseconds(400);
+constexpr core::Duration kRelayRest = std::chrono::seconds(3);
 
 } // namespace
 
@@ -30,10 +36,32 @@
     std::hash<std::string>()(m_context.Self().m_host + m_task.m_kind);
 }
 
+WatchSource
+KindWatch::NextSource()
+{
+  // The first list comes from the store: it names the relays.
+  if (!m_revision) {
+    return FromStore{};
+  }
+  const core::Instant now = kernel::Now();
+  const auto relays = m_relays.Read();
+  for (const core::Endpoint& relay : *relays) {
+    const auto failed = m_failedRelays.find(relay);
+    if (failed == m_failedRelays.end() || failed->second <= now) {
+      return FromRelay{ relay };
+    }
+  }
+  return FromStore{};
+}
+
 ListRequest
-KindWatch::NextRequest() const
+KindWatch::NextRequest(const WatchSource& aSource) const
 {
   ListRequest request{ m_task.m_kind, m_revision, "", {} };
+  if (std::holds_alternative<FromRelay>(aSource)) {
+    request.m_wait = kRelayWait;
+    return request;
+  }
   if (m_refreshing) {
     request.m_after.reset();
   }
@@ -48,15 +76,20 @@
 }
 
 asio::awaitable<absl::StatusOr<ObjectList>>
-KindWatch::Ask(ListRequest aRequest)
+KindWatch::Ask(const WatchSource& aSource, ListRequest aRequest)
 {
-  const core::Instant deadline =
-    kernel::Now() + aRequest.m_wait + std::max(m_task.m_callTime, kWatchGrace);
-  const core::Endpoint peer =
-    m_task.m_endpoints[m_endpoint % m_task.m_endpoints.size()];
   m_abort = std::make_shared<http::CallAbort>();
-  absl::StatusOr<ObjectList> list =
-    co_await CallList(m_client, peer, std::move(aRequest), deadline, m_abort);
+  const auto* relay = std::get_if<FromRelay>(&aSource);
+  const core::Duration patience =
+    relay != nullptr ? kRelayGrace : std::max(m_task.m_callTime, kWatchGrace);
+  const core::Instant deadline = kernel::Now() + aRequest.m_wait + patience;
+  const ObjectCodec& codec = relay != nullptr ? OwnCodec() : CodecInUse();
+  const core::Endpoint peer =
+    relay != nullptr
+      ? relay->m_relay
+      : m_task.m_endpoints[m_endpoint % m_task.m_endpoints.size()];
+  absl::StatusOr<ObjectList> list = co_await CallList(
+    m_client, codec, peer, std::move(aRequest), deadline, m_abort);
   co_return list;
 }
 
@@ -72,7 +105,7 @@
 KindWatch::Refresh(uint64_t aRevision)
 {
   const bool known = m_revision && *m_revision >= aRevision;
-  if (known || m_refreshing) {
+  if (known || m_refreshing || m_relayed) {
     return;
   }
   m_refreshing = true;
@@ -86,10 +119,12 @@
 {
   const auto self = shared_from_this();
   for (;;) {
-    const ListRequest request = NextRequest();
+    const WatchSource source = NextSource();
+    const ListRequest request = NextRequest(source);
+    const auto* relay = std::get_if<FromRelay>(&source);
+    m_relayed = relay != nullptr;
     const bool refreshes = m_refreshing && m_revision.has_value();
-    const bool first = !m_revision;
-    absl::StatusOr<ObjectList> list = co_await Ask(request);
+    absl::StatusOr<ObjectList> list = co_await Ask(source, request);
     const bool interrupted = m_abort->IsRequested();
     if (!list.ok() && interrupted) {
       continue;
@@ -97,6 +132,10 @@
     if (!interrupted) {
       m_refreshing = false;
     }
+    if (!list.ok() && relay != nullptr) {
+      OnRelayFailure(*relay, list.status());
+      continue;
+    }
     if (!list.ok()) {
       OnFailure(list.status());
       co_await Pause();
@@ -104,14 +143,12 @@
     }
     const bool afterOutage = m_lostAt.has_value();
     NoteReachable(list.status());
-    if (afterOutage && list->m_isWhole) {
+    if (afterOutage && list->m_isWhole && relay == nullptr) {
       KeepLapsed(*list);
     }
     DropLapsed();
     m_backoff.m_failures = 0;
-    const bool unchanged =
-      !first && !list->m_isWhole && list->m_revision == *m_revision;
-    if (unchanged) {
+    if (TakesUnchanged(source, *list)) {
       continue;
     }
     const Objects before = refreshes ? m_objects : Objects{};
@@ -127,6 +164,79 @@
   }
 }
 
+bool
+KindWatch::TakesUnchanged(const WatchSource& aSource, const ObjectList& aList)
+{
+  if (!m_revision) {
+    return false;
+  }
+  if (std::holds_alternative<FromRelay>(aSource)) {
+    // A relay that has seen less than this host has nothing to tell.
+    return aList.m_revision <= *m_revision;
+  }
+  return !aList.m_isWhole && aList.m_revision == *m_revision;
+}
+
+void
+KindWatch::OnRelayFailure(const FromRelay& aSource, const absl::Status& aStatus)
+{
+  m_failedRelays[aSource.m_relay] = kernel::Now() + kRelayRest;
+  m_context.Metrics().Get("objectstore.relay_failed").Add();
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "objectstore",
+                   "relay-failed",
+                   { { "kind", m_task.m_kind },
+                     { "relay", http::ToText(aSource.m_relay) },
+                     { "reason", http::DescribeStatus(aStatus) } });
+}
+
+void
+KindWatch::SetRelays(std::vector<core::Endpoint> aRelays)
+{
+  m_relays.Publish(std::move(aRelays));
+}
+
+std::shared_ptr<const RelayedKind>
+KindWatch::Snapshot() const
+{
+  const std::scoped_lock lock(m_mutex);
+  return m_snapshot;
+}
+
+void
+KindWatch::WakeOnChange(std::shared_ptr<asio::steady_timer> aTimer)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_waiting.push_back(std::move(aTimer));
+}
+
+void
+KindWatch::Publish()
+{
+  std::shared_ptr<RelayedKind> kind;
+  if (m_revision && !m_lostAt && !m_relayed) {
+    kind = std::make_shared<RelayedKind>();
+    kind->m_revision = *m_revision;
+    std::vector<StoredObject> objects;
+    for (const auto& [name, object] : m_objects) {
+      objects.push_back(object);
+    }
+    for (const auto& [name, object] : m_lapsed) {
+      objects.push_back(object);
+    }
+    kind->m_text = EncodeOwnList(*m_revision, objects);
+  }
+  std::vector<std::shared_ptr<asio::steady_timer>> waiting;
+  {
+    const std::scoped_lock lock(m_mutex);
+    m_snapshot = std::move(kind);
+    waiting.swap(m_waiting);
+  }
+  for (const auto& timer : waiting) {
+    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+  }
+}
+
 void
 KindWatch::OnFailure(const absl::Status& aStatus)
 {
@@ -137,6 +247,8 @@
     return;
   }
   NoteReachable(aStatus);
+  // Others are not told of a kind that may be out of date.
+  Publish();
   if (m_task.m_lapseGrace > core::Duration::zero()) {
     m_revision.reset();
   }
@@ -184,6 +296,9 @@
     return;
   }
   m_lapsed.clear();
+  // A new list has a revision of its own, which those that are served from
+  // here tell from the one before.
+  m_refreshing = true;
   Announce();
 }
 
@@ -199,6 +314,7 @@
   }
   m_context.Control().Post(
     [changed = m_task.m_changed, objects] { changed(*objects); });
+  Publish();
 }
 
 void
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -3,15 +3,27 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <variant>
 
 #include "boost/asio/awaitable.hpp"
+#include "boost/asio/steady_timer.hpp"
 
+#include "kernel/published.h"
 #include "objectstore/objectcodec.h"
 #include "objectstore/objectstore.h"
 
 namespace heatherdeal::objectstore {
 
+/// A kind as it is passed on to other hosts.
+struct RelayedKind
+{
+  uint64_t m_revision = 0;
+  /// The list in the own encoding.
+  std::string m_text;
+};
+
 /// What the watch of one kind works with.
 struct WatchTask
 {
@@ -26,6 +38,18 @@
   ObjectStore::MissedCallback m_missed;
 };
 
+/// Asked at the object API itself.
+struct FromStore
+{};
+
+/// Asked at a host that watches the kind and passes it on.
+struct FromRelay
+{
+  core::Endpoint m_relay;
+};
+
+using WatchSource = std::variant<FromStore, FromRelay>;
+
 /// Keeps one kind up to date. Runs on one traffic loop.
 class KindWatch : public std::enable_shared_from_this<KindWatch>
 {
@@ -35,14 +59,30 @@
   /// Watches until the process ends.
   boost::asio::awaitable<void> Run();
 
-  /// Lists the kind anew unless aRevision is known already.
+  /// Lists the kind anew unless aRevision is known already, or a relay will
+  /// tell of it.
   void Refresh(uint64_t aRevision);
 
+  /// Hosts to ask in place of the store; any thread.
+  void SetRelays(std::vector<core::Endpoint> aRelays);
+
+  /// The kind as other hosts get it, or nothing while it may be out of date;
+  /// any thread.
+  std::shared_ptr<const RelayedKind> Snapshot() const;
+  /// Cancels aTimer, once, when the kind changes; any thread.
+  void WakeOnChange(std::shared_ptr<boost::asio::steady_timer> aTimer);
+
 private:
   using Objects = std::map<std::string, StoredObject>;
 
-  ListRequest NextRequest() const;
-  boost::asio::awaitable<absl::StatusOr<ObjectList>> Ask(ListRequest aRequest);
+  WatchSource NextSource();
+  ListRequest NextRequest(const WatchSource& aSource) const;
+  boost::asio::awaitable<absl::StatusOr<ObjectList>> Ask(
+    const WatchSource& aSource,
+    ListRequest aRequest);
+  void OnRelayFailure(const FromRelay& aSource, const absl::Status& aStatus);
+  bool TakesUnchanged(const WatchSource& aSource, const ObjectList& aList);
+  void Publish();
   boost::asio::awaitable<void> Pause();
   void OnFailure(const absl::Status& aStatus);
   /// False if the list is older than what is known.
@@ -66,6 +106,13 @@
   std::optional<core::Instant> m_lostAt;
   std::shared_ptr<http::CallAbort> m_abort;
   bool m_refreshing = false;
+  bool m_relayed = false;
+  kernel::Published<std::vector<core::Endpoint>> m_relays;
+  /// Relays that failed, and until when they are left out.
+  std::map<core::Endpoint, core::Instant> m_failedRelays;
+  mutable std::mutex m_mutex;
+  std::shared_ptr<const RelayedKind> m_snapshot;
+  std::vector<std::shared_ptr<boost::asio::steady_timer>> m_waiting;
 };
 
 } // namespace heatherdeal::objectstore
--- a/src/objectstore/internal/objectcalls.cpp
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -59,6 +59,7 @@
 
 asio::awaitable<absl::StatusOr<ObjectList>>
 CallList(http::Client& aClient,
+         const ObjectCodec& aCodec,
          core::Endpoint aPeer,
          ListRequest aList,
          core::Instant aDeadline,
@@ -66,14 +67,14 @@
 {
   ObjectList whole;
   for (;;) {
-    http::Request request = CodecInUse().m_encodeList(aList);
+    http::Request request = aCodec.m_encodeList(aList);
     const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
       aPeer, std::move(request), http::Reuse::Allowed, aDeadline, aAbort);
     if (!answer.ok()) {
       co_return answer.status();
     }
     absl::StatusOr<ObjectList> page =
-      CodecInUse().m_decodeList(aList, *answer, aPeer);
+      aCodec.m_decodeList(aList, *answer, aPeer);
     if (!page.ok()) {
       co_return page.status();
     }
--- a/src/objectstore/internal/objectcalls.h
+++ b/src/objectstore/internal/objectcalls.h
@@ -29,6 +29,7 @@
 /// The changes after a revision, or the whole kind, all its pages.
 boost::asio::awaitable<absl::StatusOr<ObjectList>>
 CallList(http::Client& aClient,
+         const ObjectCodec& aCodec,
          core::Endpoint aPeer,
          ListRequest aList,
          core::Instant aDeadline,
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -21,6 +21,8 @@
 
 // Store calls share one loop, so that one client pools their connections.
 constexpr size_t kLoopIndex = 0;
+constexpr std::string_view kRelayPath = "/watch/";
+constexpr uint64_t kMaxRelayWaitMilliseconds = 30'000;
 
 template<typename Callback, typename Result>
 void
@@ -225,7 +227,11 @@
   const std::string name = task.m_kind;
   auto watch = std::make_shared<KindWatch>(
     m_context, m_clients->For(kLoopIndex), std::move(task));
-  m_watches[name] = watch;
+  watch->SetRelays(m_relays);
+  {
+    const std::scoped_lock lock(m_mutex);
+    m_watches[name] = watch;
+  }
   asio::co_spawn(
     m_context.Traffic().Loop(kLoopIndex), watch->Run(), asio::detached);
 }
@@ -241,6 +247,65 @@
              [watch = watch->second, aRevision] { watch->Refresh(aRevision); });
 }
 
+void
+ObjectStore::SetRelays(std::span<const core::Endpoint> aRelays)
+{
+  if (std::ranges::equal(aRelays, m_relays)) {
+    return;
+  }
+  m_relays.assign(aRelays.begin(), aRelays.end());
+  for (const auto& [kind, watch] : m_watches) {
+    watch->SetRelays(m_relays);
+  }
+}
+
+std::shared_ptr<KindWatch>
+ObjectStore::FindWatch(std::string_view aKind) const
+{
+  const std::scoped_lock lock(m_mutex);
+  const auto found = m_watches.find(aKind);
+  return found == m_watches.end() ? nullptr : found->second;
+}
+
+asio::awaitable<void>
+ObjectStore::ServeRelay(http::Exchange& aExchange)
+{
+  const std::string& target = aExchange.Asked().m_target;
+  const std::string_view kind =
+    http::PathOf(target).substr(kRelayPath.size());
+  const uint64_t after = http::QueryNumber(target, "after").value_or(0);
+  const uint64_t wait = http::QueryNumber(target, "wait_ms").value_or(0);
+  const auto watch = FindWatch(kind);
+  if (!watch) {
+    http::Answer unknown =
+      http::FailureAnswer(core::NotFound{ std::string(kind) });
+    co_await aExchange.Reply(std::move(unknown));
+    co_return;
+  }
+  auto timer = std::make_shared<asio::steady_timer>(
+    m_context.Traffic().Loop(aExchange.LoopIndex()));
+  timer->expires_after(
+    std::chrono::milliseconds(std::min(wait, kMaxRelayWaitMilliseconds)));
+  watch->WakeOnChange(timer);
+  std::shared_ptr<const RelayedKind> snapshot = watch->Snapshot();
+  if (snapshot && snapshot->m_revision <= after) {
+    boost::system::error_code woken;
+    co_await timer->async_wait(
+      asio::redirect_error(asio::use_awaitable, woken));
+    snapshot = watch->Snapshot();
+  }
+  http::Answer answer =
+    http::FailureAnswer(core::RecordUnavailable{ std::string(kind) });
+  if (snapshot) {
+    answer = http::Answer{};
+    // What the asker has is not sent again.
+    answer.m_body = snapshot->m_revision > after
+                      ? snapshot->m_text
+                      : EncodeOwnList(snapshot->m_revision, {});
+  }
+  co_await aExchange.Reply(std::move(answer));
+}
+
 void
 ObjectStore::SubscribeMissed(MissedCallback aMissed)
 {
--- a/src/objectstore/internal/owncodec.cpp
+++ b/src/objectstore/internal/owncodec.cpp
@@ -209,6 +209,21 @@
   return kOwnCodec;
 }
 
+std::string
+EncodeOwnList(uint64_t aRevision, std::span<const StoredObject> aObjects)
+{
+  boost::json::array objects;
+  for (const StoredObject& object : aObjects) {
+    objects.push_back({ { "name", object.m_key.m_name },
+                        { "version", object.m_version },
+                        { "value", object.m_value },
+                        { "token", object.m_writeToken } });
+  }
+  const boost::json::value body{ { "revision", aRevision },
+                                 { "objects", std::move(objects) } };
+  return boost::json::serialize(body);
+}
+
 ObjectCodecRegistration::ObjectCodecRegistration(const ObjectCodec& aCodec)
 {
   Registered() = &aCodec;
--- a/src/objectstore/objectcodec.h
+++ b/src/objectstore/objectcodec.h
@@ -80,6 +80,10 @@
 const ObjectCodec&
 OwnCodec();
 
+/// The answer to a list request of the own encoding.
+std::string
+EncodeOwnList(uint64_t aRevision, std::span<const StoredObject> aObjects);
+
 /// Registers another encoding before main, for binaries that speak it.
 struct ObjectCodecRegistration
 {
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <span>
 #include <string>
 #include <vector>
@@ -11,6 +12,7 @@
 
 #include "core/ids.h"
 #include "http/client.h"
+#include "http/exchange.h"
 #include "kernel/context.h"
 #include "objectstore/backoff.h"
 #include "objectstore/callbudget.h"
@@ -27,6 +29,8 @@
   BackoffPolicy m_backoff;
   core::Duration m_callTime = std::chrono::seconds(2);
   core::Duration m_watchTime = std::chrono::seconds(20);
+  /// Other hosts may ask this one for what it watches.
+  bool m_servesRelay = false;
   /// False if no upstream refuses orders with an old fencing number.
   bool m_upstreamsCheckFences = true;
   /// How long entries that lapsed during an outage are kept after it.
@@ -70,12 +74,20 @@
   /// store: those missing after an outage are kept for a grace time.
   void WatchLapsing(std::string aKind, WatchCallback aChanged);
 
+  /// Hosts that pass on what they watch, in order of preference; this host
+  /// asks them in place of the store while one of them answers.
+  void SetRelays(std::span<const core::Endpoint> aRelays);
+
+  /// Answers other hosts that ask for a kind that is watched here.
+  boost::asio::awaitable<void> ServeRelay(http::Exchange& aExchange);
+
   /// Lists a watched kind anew, if its watch has not come to that revision.
   void Refresh(std::string_view aKind, uint64_t aRevision);
   /// Calls back when listing anew has shown changes that a watch had missed.
   void SubscribeMissed(MissedCallback aMissed);
 
 private:
+  std::shared_ptr<KindWatch> FindWatch(std::string_view aKind) const;
   void AnnounceMissed(std::string_view aKind, uint64_t aRevision);
   void StartWatch(std::string aKind,
                   core::Duration aLapseGrace,
@@ -87,7 +99,10 @@
   ObjectStoreSettings m_settings;
   CallBudgetState m_budget;
   std::shared_ptr<http::Clients> m_clients;
+  /// Held while m_watches changes, or is read off the control thread.
+  mutable std::mutex m_mutex;
   std::map<std::string, std::shared_ptr<KindWatch>, std::less<>> m_watches;
+  std::vector<core::Endpoint> m_relays;
   std::vector<MissedCallback> m_missed;
   uint64_t m_writes = 0;
   size_t m_nextEndpoint = 0;
--- a/src/objectstore/objectstoremodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -1,6 +1,7 @@
 #include "objectstore/objectstoremodule.h"
 
 #include "http/httpmodule.h"
+#include "http/server.h"
 #include "kernel/plugin.h"
 #include "objectstore/objectcodec.h"
 
@@ -65,6 +66,7 @@
     aReader.MillisecondsOr("watch_time_ms", range, settings.m_watchTime);
   settings.m_backoff.m_greatest = aReader.MillisecondsOr(
     "backoff_max_ms", range, settings.m_backoff.m_greatest);
+  settings.m_servesRelay = aReader.FlagOr("serves_relay", false);
   settings.m_upstreamsCheckFences =
     aReader.FlagOr("upstreams_check_fences", true);
   settings.m_lapseGrace = aReader.MillisecondsOr(
@@ -80,6 +82,12 @@
   auto hosts = std::make_shared<Hosts>();
   aContext.Provide(store);
   aContext.Provide(hosts);
+  if (settings.m_servesRelay) {
+    aContext.Get<http::Server>()->AddRoute(
+      { "GET", "/watch/", [store](http::Exchange& aExchange) {
+         return store->ServeRelay(aExchange);
+       } });
+  }
   for (const std::string_view kind : CodecInUse().m_hostKinds) {
     store->WatchLapsing(
       std::string(kind),
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -89,7 +89,17 @@
 void
 Ticket::Refused(core::Instant aUntil)
 {
-  Chosen().m_meter->m_refusesUntil.store(aUntil.time_since_epoch().count());
+  UpstreamMeter& meter = *Chosen().m_meter;
+  meter.m_refusals.fetch_add(1);
+  meter.m_refusesUntil.store(aUntil.time_since_epoch().count());
+}
+
+void
+Ticket::Accepted()
+{
+  UpstreamMeter& meter = *Chosen().m_meter;
+  meter.m_refusals.store(0);
+  meter.m_refusesUntil.store(0);
 }
 
 Router::Router(std::string_view aOwnDomain)
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -27,6 +27,9 @@
   std::atomic<int64_t> m_ejectedUntil{ 0 };
   /// It has refused a request lately and is left alone until then.
   std::atomic<int64_t> m_refusesUntil{ 0 };
+  /// Refusals since it took a request; while there are any, one request at a
+  /// time tries it.
+  std::atomic<uint32_t> m_refusals{ 0 };
   /// Set by the upstream's own word.
   std::atomic<bool> m_leaving{ false };
   /// Smoothed time between the events of its streams, in microseconds, and
@@ -83,6 +86,8 @@
   void Paced(core::Duration aGap, core::Instant aNow);
   /// The upstream has no room now.
   void Refused(core::Instant aUntil);
+  /// The upstream has taken the request.
+  void Accepted();
 
 private:
   std::shared_ptr<const Pool> m_pool;
