The store by way of other hosts while it turns one away

Calls and lists now go by way of two other hosts; a write repeated that way is recognised by its token.

--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -76,6 +76,8 @@
   void Run(const LeavingHeard& aEffect);
   void PlanRefresh();
   void ChooseRelays();
+  /// Hosts of a role, or of any, those of the own failure domain first.
+  std::vector<core::Endpoint> AliveHosts(std::string_view aRole) const;
   void SetHosts(std::span<const objectstore::HostEntry> aHosts);
   void PublishHeard();
   void Receive();
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -186,22 +186,20 @@
   ChooseRelays();
 }
 
-void
-Gossip::ChooseRelays()
+std::vector<core::Endpoint>
+Gossip::AliveHosts(std::string_view aRole) const
 {
-  if (m_settings.m_relayRole.empty()) {
-    return;
-  }
   const std::string& own = m_context.Self().m_failureDomain;
   std::vector<core::Endpoint> near;
   std::vector<core::Endpoint> far;
   for (const auto& [name, peer] : m_peers) {
-    if (peer.m_role == m_settings.m_relayRole && IsAlive(name)) {
+    const bool wanted = aRole.empty() || peer.m_role == aRole;
+    if (wanted && IsAlive(name)) {
       const bool isNear = peer.m_failureDomain.m_value == own;
       (isNear ? near : far).push_back(peer.m_http);
     }
   }
-  // Hosts without a relay of their domain spread over the others.
+  // Hosts without one of their own domain spread over the others.
   if (!far.empty()) {
     const size_t first =
       std::hash<std::string>()(m_context.Self().m_host) % far.size();
@@ -209,7 +207,17 @@
       far.begin(), far.begin() + static_cast<std::ptrdiff_t>(first), far.end());
   }
   near.insert(near.end(), far.begin(), far.end());
-  m_context.Get<objectstore::ObjectStore>()->SetRelays(near);
+  return near;
+}
+
+void
+Gossip::ChooseRelays()
+{
+  const auto store = m_context.Get<objectstore::ObjectStore>();
+  store->SetPeers(AliveHosts(""));
+  if (!m_settings.m_relayRole.empty()) {
+    store->SetRelays(AliveHosts(m_settings.m_relayRole));
+  }
 }
 
 void
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -27,9 +27,11 @@
 
 KindWatch::KindWatch(kernel::Context& aContext,
                      http::Client& aClient,
+                     std::shared_ptr<StorePath> aPath,
                      WatchTask aTask)
   : m_context(aContext)
   , m_client(aClient)
+  , m_path(std::move(aPath))
   , m_task(std::move(aTask))
 {
   m_backoff.m_seed =
@@ -62,7 +64,7 @@
     request.m_wait = kRelayWait;
     return request;
   }
-  if (m_refreshing) {
+  if (m_refreshing || m_lostAt) {
     request.m_after.reset();
   }
   if (request.m_after) {
@@ -75,21 +77,38 @@
   return request;
 }
 
-asio::awaitable<absl::StatusOr<ObjectList>>
-KindWatch::Ask(const WatchSource& aSource, ListRequest aRequest)
+StoreExchange
+KindWatch::ExchangeOf(const WatchSource& aSource)
 {
-  m_abort = std::make_shared<http::CallAbort>();
   const auto* relay = std::get_if<FromRelay>(&aSource);
-  const core::Duration patience =
-    relay != nullptr ? kRelayGrace : std::max(m_task.m_callTime, kWatchGrace);
-  const core::Instant deadline = kernel::Now() + aRequest.m_wait + patience;
-  const ObjectCodec& codec = relay != nullptr ? OwnCodec() : CodecInUse();
+  if (relay == nullptr && m_lostAt) {
+    // Listed by way of another host while the store turns this one away.
+    return [path = m_path](http::Request aRequest, core::Instant aDeadline) {
+      return path->Send(std::move(aRequest), aDeadline);
+    };
+  }
   const core::Endpoint peer =
     relay != nullptr
       ? relay->m_relay
       : m_task.m_endpoints[m_endpoint % m_task.m_endpoints.size()];
-  absl::StatusOr<ObjectList> list = co_await CallList(
-    m_client, codec, peer, std::move(aRequest), deadline, m_abort);
+  return [this, peer](http::Request aRequest, core::Instant aDeadline) {
+    return m_client.Call(
+      peer, std::move(aRequest), http::Reuse::Allowed, aDeadline, m_abort);
+  };
+}
+
+asio::awaitable<absl::StatusOr<ObjectList>>
+KindWatch::Ask(const WatchSource& aSource, ListRequest aRequest)
+{
+  m_abort = std::make_shared<http::CallAbort>();
+  const bool isRelay = std::holds_alternative<FromRelay>(aSource);
+  const core::Duration patience =
+    isRelay ? kRelayGrace : std::max(m_task.m_callTime, kWatchGrace);
+  const core::Instant deadline = kernel::Now() + aRequest.m_wait + patience;
+  const ObjectCodec& codec = isRelay ? OwnCodec() : CodecInUse();
+  const StoreExchange exchange = ExchangeOf(aSource);
+  absl::StatusOr<ObjectList> list =
+    co_await CallList(exchange, codec, std::move(aRequest), deadline);
   co_return list;
 }
 
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -11,6 +11,8 @@
 #include "boost/asio/steady_timer.hpp"
 
 #include "kernel/published.h"
+#include "objectstore/internal/objectcalls.h"
+#include "objectstore/internal/storepath.h"
 #include "objectstore/objectcodec.h"
 #include "objectstore/objectstore.h"
 
@@ -54,7 +56,10 @@
 class KindWatch : public std::enable_shared_from_this<KindWatch>
 {
 public:
-  KindWatch(kernel::Context& aContext, http::Client& aClient, WatchTask aTask);
+  KindWatch(kernel::Context& aContext,
+            http::Client& aClient,
+            std::shared_ptr<StorePath> aPath,
+            WatchTask aTask);
 
   /// Watches until the process ends.
   boost::asio::awaitable<void> Run();
@@ -77,6 +82,7 @@
 
   WatchSource NextSource();
   ListRequest NextRequest(const WatchSource& aSource) const;
+  StoreExchange ExchangeOf(const WatchSource& aSource);
   boost::asio::awaitable<absl::StatusOr<ObjectList>> Ask(
     const WatchSource& aSource,
     ListRequest aRequest);
@@ -95,6 +101,7 @@
 
   kernel::Context& m_context;
   http::Client& m_client;
+  std::shared_ptr<StorePath> m_path;
   WatchTask m_task;
   BackoffState m_backoff;
   size_t m_endpoint = 0;
--- a/src/objectstore/internal/objectcalls.cpp
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -9,47 +9,47 @@
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kNotFound = 404;
 
+// The answers below are decoded at this end of the exchange; a relay passes
+// them on as they are.
+const core::Endpoint kStore{ "store", 0 };
+
 } // namespace
 
 asio::awaitable<absl::StatusOr<StoredObject>>
-CallRead(http::Client& aClient,
-         core::Endpoint aPeer,
+CallRead(const StoreExchange& aExchange,
          ObjectKey aKey,
          core::Instant aDeadline)
 {
   http::Request request = CodecInUse().m_encodeRead(aKey);
-  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+  const absl::StatusOr<http::Answer> answer =
+    co_await aExchange(std::move(request), aDeadline);
   if (!answer.ok()) {
     co_return answer.status();
   }
-  co_return CodecInUse().m_decodeRead(aKey, *answer, aPeer);
+  co_return CodecInUse().m_decodeRead(aKey, *answer, kStore);
 }
 
 asio::awaitable<absl::StatusOr<uint64_t>>
-CallWrite(http::Client& aClient,
-          core::Endpoint aPeer,
+CallWrite(const StoreExchange& aExchange,
           WriteRequest aWrite,
           core::Instant aDeadline)
 {
   http::Request request = CodecInUse().m_encodeWrite(aWrite);
-  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+  const absl::StatusOr<http::Answer> answer =
+    co_await aExchange(std::move(request), aDeadline);
   if (!answer.ok()) {
     co_return answer.status();
   }
-  co_return CodecInUse().m_decodeWrite(aWrite, *answer, aPeer);
+  co_return CodecInUse().m_decodeWrite(aWrite, *answer, kStore);
 }
 
 asio::awaitable<absl::StatusOr<bool>>
-CallRemove(http::Client& aClient,
-           core::Endpoint aPeer,
-           ObjectKey aKey,
-           core::Instant aDeadline)
+CallPlain(const StoreExchange& aExchange,
+          http::Request aRequest,
+          core::Instant aDeadline)
 {
-  http::Request request = CodecInUse().m_encodeRemove(aKey);
-  const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-    aPeer, std::move(request), http::Reuse::Allowed, aDeadline);
+  const absl::StatusOr<http::Answer> answer =
+    co_await aExchange(std::move(aRequest), aDeadline);
   if (!answer.ok()) {
     co_return answer.status();
   }
@@ -58,23 +58,21 @@
 }
 
 asio::awaitable<absl::StatusOr<ObjectList>>
-CallList(http::Client& aClient,
+CallList(const StoreExchange& aExchange,
          const ObjectCodec& aCodec,
-         core::Endpoint aPeer,
          ListRequest aList,
-         core::Instant aDeadline,
-         std::shared_ptr<http::CallAbort> aAbort)
+         core::Instant aDeadline)
 {
   ObjectList whole;
   for (;;) {
     http::Request request = aCodec.m_encodeList(aList);
-    const absl::StatusOr<http::Answer> answer = co_await aClient.Call(
-      aPeer, std::move(request), http::Reuse::Allowed, aDeadline, aAbort);
+    const absl::StatusOr<http::Answer> answer =
+      co_await aExchange(std::move(request), aDeadline);
     if (!answer.ok()) {
       co_return answer.status();
     }
     absl::StatusOr<ObjectList> page =
-      aCodec.m_decodeList(aList, *answer, aPeer);
+      aCodec.m_decodeList(aList, *answer, kStore);
     if (!page.ok()) {
       co_return page.status();
     }
--- a/src/objectstore/internal/objectcalls.h
+++ b/src/objectstore/internal/objectcalls.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "boost/asio/awaitable.hpp"
 
 #include "http/client.h"
@@ -7,32 +9,33 @@
 
 namespace heatherdeal::objectstore {
 
+/// Sends one request to the store and returns its answer.
+using StoreExchange =
+  std::function<boost::asio::awaitable<absl::StatusOr<http::Answer>>(
+    http::Request aRequest,
+    core::Instant aDeadline)>;
+
 boost::asio::awaitable<absl::StatusOr<StoredObject>>
-CallRead(http::Client& aClient,
-         core::Endpoint aPeer,
+CallRead(const StoreExchange& aExchange,
          ObjectKey aKey,
          core::Instant aDeadline);
 
 boost::asio::awaitable<absl::StatusOr<uint64_t>>
-CallWrite(http::Client& aClient,
-          core::Endpoint aPeer,
+CallWrite(const StoreExchange& aExchange,
           WriteRequest aWrite,
           core::Instant aDeadline);
 
-/// True if the object was removed or was not there.
+/// True if the request was carried out, or the object was not there.
 boost::asio::awaitable<absl::StatusOr<bool>>
-CallRemove(http::Client& aClient,
-           core::Endpoint aPeer,
-           ObjectKey aKey,
-           core::Instant aDeadline);
+CallPlain(const StoreExchange& aExchange,
+          http::Request aRequest,
+          core::Instant aDeadline);
 
 /// The changes after a revision, or the whole kind, all its pages.
 boost::asio::awaitable<absl::StatusOr<ObjectList>>
-CallList(http::Client& aClient,
+CallList(const StoreExchange& aExchange,
          const ObjectCodec& aCodec,
-         core::Endpoint aPeer,
          ListRequest aList,
-         core::Instant aDeadline,
-         std::shared_ptr<http::CallAbort> aAbort);
+         core::Instant aDeadline);
 
 } // namespace heatherdeal::objectstore
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -12,6 +12,7 @@
 #include "kernel/sleep.h"
 #include "objectstore/internal/kindwatch.h"
 #include "objectstore/internal/objectcalls.h"
+#include "objectstore/internal/storepath.h"
 
 namespace heatherdeal::objectstore {
 
@@ -40,43 +41,53 @@
   return !failure || core::ExecutedOf(*failure) != core::Executed::No;
 }
 
+StoreExchange
+ExchangeOf(std::shared_ptr<StorePath> aPath)
+{
+  return [aPath](http::Request aRequest, core::Instant aDeadline) {
+    return aPath->Send(std::move(aRequest), aDeadline);
+  };
+}
+
 asio::awaitable<void>
 RunRead(kernel::Context& aContext,
-        http::Client& aClient,
-        core::Endpoint aPeer,
+        std::shared_ptr<StorePath> aPath,
         ObjectKey aKey,
         core::Instant aDeadline,
         ObjectStore::ReadCallback aDone)
 {
+  const StoreExchange exchange = ExchangeOf(aPath);
   absl::StatusOr<StoredObject> object =
-    co_await CallRead(aClient, aPeer, aKey, aDeadline);
+    co_await CallRead(exchange, aKey, aDeadline);
   CallBack(aContext, std::move(aDone), std::move(object));
 }
 
 asio::awaitable<void>
-RunRemove(kernel::Context& aContext,
-          http::Client& aClient,
-          core::Endpoint aPeer,
-          ObjectKey aKey,
-          core::Instant aDeadline)
+RunPlain(kernel::Context& aContext,
+         std::shared_ptr<StorePath> aPath,
+         http::Request aRequest,
+         core::Instant aDeadline,
+         ObjectStore::DoneCallback aDone)
 {
-  const absl::StatusOr<bool> removed =
-    co_await CallRemove(aClient, aPeer, aKey, aDeadline);
-  if (!removed.ok() || !*removed) {
-    aContext.Metrics().Get("objectstore.remove_failed").Add();
+  const StoreExchange exchange = ExchangeOf(aPath);
+  const absl::StatusOr<bool> done =
+    co_await CallPlain(exchange, std::move(aRequest), aDeadline);
+  const bool carriedOut = done.ok() && *done;
+  if (!carriedOut) {
+    aContext.Metrics().Get("objectstore.plain_call_failed").Add();
   }
+  CallBack(aContext, std::move(aDone), carriedOut);
 }
 
 /// Reads back what a write without a reply has left.
 asio::awaitable<absl::StatusOr<uint64_t>>
-ReadBack(http::Client& aClient,
-         core::Endpoint aPeer,
+ReadBack(const StoreExchange& aExchange,
          const WriteRequest& aWrite,
          absl::Status aUnknown,
          core::Instant aDeadline)
 {
   const absl::StatusOr<StoredObject> found =
-    co_await CallRead(aClient, aPeer, aWrite.m_key, aDeadline);
+    co_await CallRead(aExchange, aWrite.m_key, aDeadline);
   if (!found.ok()) {
     co_return aUnknown;
   }
@@ -93,21 +104,21 @@
 
 asio::awaitable<void>
 RunWrite(kernel::Context& aContext,
-         http::Client& aClient,
-         core::Endpoint aPeer,
+         std::shared_ptr<StorePath> aPath,
          WriteRequest aWrite,
          core::Duration aCallTime,
          ObjectStore::WriteCallback aDone)
 {
+  const StoreExchange exchange = ExchangeOf(aPath);
   absl::StatusOr<uint64_t> version =
-    co_await CallWrite(aClient, aPeer, aWrite, kernel::Now() + aCallTime);
+    co_await CallWrite(exchange, aWrite, kernel::Now() + aCallTime);
   const bool unknown = !version.ok() && !absl::IsAborted(version.status()) &&
                        MayHaveTakenEffect(version.status());
   if (unknown) {
     aContext.Metrics().Get("objectstore.write_reply_lost").Add();
     const absl::Status failure = version.status();
     version = co_await ReadBack(
-      aClient, aPeer, aWrite, failure, kernel::Now() + aCallTime);
+      exchange, aWrite, failure, kernel::Now() + aCallTime);
   }
   CallBack(aContext, std::move(aDone), std::move(version));
 }
@@ -119,6 +130,9 @@
   : m_context(aContext)
   , m_settings(std::move(aSettings))
   , m_clients(aContext.Get<http::Clients>())
+  , m_path(std::make_shared<StorePath>(aContext,
+                                       m_clients->For(kLoopIndex),
+                                       m_settings.m_endpoints))
 {
   m_budget.m_available = m_settings.m_budget.m_burst;
   m_budget.m_filledAt = kernel::Now();
@@ -132,13 +146,6 @@
          std::to_string(++m_writes);
 }
 
-core::Endpoint
-ObjectStore::NextEndpoint()
-{
-  return m_settings
-    .m_endpoints[m_nextEndpoint++ % m_settings.m_endpoints.size()];
-}
-
 void
 ObjectStore::Read(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone)
 {
@@ -149,8 +156,7 @@
   }
   asio::co_spawn(m_context.Traffic().Loop(kLoopIndex),
                  RunRead(m_context,
-                         m_clients->For(kLoopIndex),
-                         NextEndpoint(),
+                         m_path,
                          std::move(aKey),
                          kernel::Now() + m_settings.m_callTime,
                          std::move(aDone)),
@@ -179,8 +185,7 @@
   };
   asio::co_spawn(m_context.Traffic().Loop(kLoopIndex),
                  RunWrite(m_context,
-                          m_clients->For(kLoopIndex),
-                          NextEndpoint(),
+                          m_path,
                           std::move(write),
                           m_settings.m_callTime,
                           std::move(aDone)),
@@ -189,13 +194,27 @@
 
 void
 ObjectStore::Remove(ObjectKey aKey)
+{
+  SendPlain(CodecInUse().m_encodeRemove(aKey), [](bool) {});
+}
+
+void
+ObjectStore::SetStatus(ObjectKey aKey,
+                       std::string_view aValue,
+                       DoneCallback aDone)
+{
+  SendPlain(CodecInUse().m_encodeStatus(aKey, aValue), std::move(aDone));
+}
+
+void
+ObjectStore::SendPlain(http::Request aRequest, DoneCallback aDone)
 {
   asio::co_spawn(m_context.Traffic().Loop(kLoopIndex),
-                 RunRemove(m_context,
-                           m_clients->For(kLoopIndex),
-                           NextEndpoint(),
-                           std::move(aKey),
-                           kernel::Now() + m_settings.m_callTime),
+                 RunPlain(m_context,
+                          m_path,
+                          std::move(aRequest),
+                          kernel::Now() + m_settings.m_callTime,
+                          std::move(aDone)),
                  asio::detached);
 }
 
@@ -226,7 +245,7 @@
                   } };
   const std::string name = task.m_kind;
   auto watch = std::make_shared<KindWatch>(
-    m_context, m_clients->For(kLoopIndex), std::move(task));
+    m_context, m_clients->For(kLoopIndex), m_path, std::move(task));
   watch->SetRelays(m_relays);
   {
     const std::scoped_lock lock(m_mutex);
@@ -259,6 +278,18 @@
   }
 }
 
+void
+ObjectStore::SetPeers(std::span<const core::Endpoint> aPeers)
+{
+  m_path->SetPeers({ aPeers.begin(), aPeers.end() });
+}
+
+asio::awaitable<void>
+ObjectStore::ServePeer(http::Exchange& aExchange)
+{
+  return m_path->Serve(aExchange);
+}
+
 std::shared_ptr<KindWatch>
 ObjectStore::FindWatch(std::string_view aKind) const
 {
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -21,6 +21,7 @@
 namespace heatherdeal::objectstore {
 
 class KindWatch;
+class StorePath;
 
 struct ObjectStoreSettings
 {
@@ -44,6 +45,8 @@
 public:
   using ReadCallback = std::function<void(absl::StatusOr<StoredObject>)>;
   using WriteCallback = std::function<void(absl::StatusOr<uint64_t>)>;
+  /// True if the store has carried the call out.
+  using DoneCallback = std::function<void(bool)>;
   using WatchCallback = std::function<void(std::span<const StoredObject>)>;
   using MissedCallback =
     std::function<void(std::string_view aKind, uint64_t aRevision)>;
@@ -63,6 +66,9 @@
              CallPriority aPriority,
              WriteCallback aDone);
 
+  /// Sets the status of an object that an operator wrote.
+  void SetStatus(ObjectKey aKey, std::string_view aValue, DoneCallback aDone);
+
   /// Removes the object if the store can be reached; nobody waits for it.
   void Remove(ObjectKey aKey);
 
@@ -78,6 +84,11 @@
   /// asks them in place of the store while one of them answers.
   void SetRelays(std::span<const core::Endpoint> aRelays);
 
+  /// Hosts by way of which the store is reached when it turns this one away.
+  void SetPeers(std::span<const core::Endpoint> aPeers);
+  /// Carries a call of another host to the store.
+  boost::asio::awaitable<void> ServePeer(http::Exchange& aExchange);
+
   /// Answers other hosts that ask for a kind that is watched here.
   boost::asio::awaitable<void> ServeRelay(http::Exchange& aExchange);
 
@@ -93,19 +104,19 @@
                   core::Duration aLapseGrace,
                   WatchCallback aChanged);
   std::string NextToken();
-  core::Endpoint NextEndpoint();
+  void SendPlain(http::Request aRequest, DoneCallback aDone);
 
   kernel::Context& m_context;
   ObjectStoreSettings m_settings;
   CallBudgetState m_budget;
   std::shared_ptr<http::Clients> m_clients;
+  std::shared_ptr<StorePath> m_path;
   /// Held while m_watches changes, or is read off the control thread.
   mutable std::mutex m_mutex;
   std::map<std::string, std::shared_ptr<KindWatch>, std::less<>> m_watches;
   std::vector<core::Endpoint> m_relays;
   std::vector<MissedCallback> m_missed;
   uint64_t m_writes = 0;
-  size_t m_nextEndpoint = 0;
 };
 
 } // namespace heatherdeal::objectstore
--- a/src/objectstore/objectstoremodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -82,6 +82,10 @@
   auto hosts = std::make_shared<Hosts>();
   aContext.Provide(store);
   aContext.Provide(hosts);
+  aContext.Get<http::Server>()->AddRoute(
+    { "POST", "/objectstore/relay", [store](http::Exchange& aExchange) {
+       return store->ServePeer(aExchange);
+     } });
   if (settings.m_servesRelay) {
     aContext.Get<http::Server>()->AddRoute(
       { "GET", "/watch/", [store](http::Exchange& aExchange) {
