--- a/src/batches/batchesmodule.cpp
+++ b/src/batches/batchesmodule.cpp
@@ -1,5 +1,6 @@
 #include "batches/batchesmodule.h"
 
+#include "batches/internal/retirement.h"
 #include "configuration/configurationmodule.h"
 #include "gossip/gossipmodule.h"
 #include "kernel/plugin.h"
@@ -27,10 +28,15 @@
 absl::Status
 Start(kernel::Context& aContext, const std::any& aSettings)
 {
-  auto batches = std::make_shared<Batches>(
-    aContext, std::any_cast<const BatchesSettings&>(aSettings));
+  const auto& settings = std::any_cast<const BatchesSettings&>(aSettings);
+  auto batches = std::make_shared<Batches>(aContext, settings);
   aContext.Provide(batches);
   batches->Start();
+  if (settings.m_enabled) {
+    auto retirement = std::make_shared<Retirement>(aContext, batches);
+    aContext.Provide(retirement);
+    retirement->Start();
+  }
   return absl::OkStatus();
 }
 
--- /dev/null
+++ b/src/batches/internal/retirement.cpp
@@ -0,0 +1,113 @@
+#include "batches/internal/retirement.h"
+
+#include "gossip/gossip.h"
+#include "kernel/eventlog.h"
+#include "kernel/json.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+constexpr std::string_view kRetirementKind = "retirements";
+constexpr std::string_view kEmptying = "emptying";
+constexpr std::string_view kEmpty = "empty";
+constexpr int64_t kMaxMilliseconds = 3'600'000;
+// What is handed over has to be taken, and the report to reach the operator.
+constexpr core::Duration kMargin = std::chrono::seconds(3);
+constexpr core::Duration kCheckInterval = std::chrono::milliseconds(200);
+constexpr core::Duration kReportAgain = std::chrono::milliseconds(500);
+
+} // namespace
+
+Retirement::Retirement(kernel::Context& aContext,
+                       std::shared_ptr<Batches> aBatches)
+  : m_context(aContext)
+  , m_batches(std::move(aBatches))
+  , m_timer(aContext.Control(), [this] { Check(); })
+{
+}
+
+void
+Retirement::Start()
+{
+  m_context.Get<objectstore::ObjectStore>()->Watch(
+    std::string(kRetirementKind),
+    [self = shared_from_this()](
+      std::span<const objectstore::StoredObject> aObjects) {
+      self->Learn(aObjects);
+    });
+}
+
+void
+Retirement::Learn(std::span<const objectstore::StoredObject> aObjects)
+{
+  for (const objectstore::StoredObject& object : aObjects) {
+    if (object.m_key.m_name != m_context.Self().m_host || m_handOverAt) {
+      continue;
+    }
+    const absl::StatusOr<int64_t> within = kernel::ParseMessage<int64_t>(
+      object.m_value, "retirement", [](kernel::SettingsReader& aReader) {
+        return aReader.Integer("within_ms", { 1, kMaxMilliseconds });
+      });
+    if (!within.ok()) {
+      m_context.Metrics().Get("batches.invalid_retirement").Add();
+      continue;
+    }
+    Begin(std::chrono::milliseconds(*within));
+  }
+}
+
+void
+Retirement::Begin(core::Duration aWithin)
+{
+  const core::Duration time =
+    std::max(core::Duration::zero(), aWithin - kMargin);
+  m_handOverAt = kernel::Now() + time;
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "batches",
+                   "retirement",
+                   { { "state", kEmptying },
+                     { "within_ms", kernel::Milliseconds(aWithin) } });
+  m_context.Get<gossip::Gossip>()->StartLeaving();
+  Report(kEmptying);
+  Check();
+}
+
+void
+Retirement::Check()
+{
+  const bool due =
+    !m_batches->HasOpenBatches() || *m_handOverAt <= kernel::Now();
+  if (!due) {
+    m_timer.Set(kernel::Now() + kCheckInterval);
+    return;
+  }
+  if (m_handedOver) {
+    Report(kEmpty);
+    return;
+  }
+  m_batches->HandOver([self = shared_from_this()] {
+    self->m_handedOver = true;
+    self->Report(kEmpty);
+  });
+}
+
+void
+Retirement::Report(std::string_view aState)
+{
+  const bool last = aState == kEmpty;
+  m_context.Get<objectstore::ObjectStore>()->SetStatus(
+    { std::string(kRetirementKind), m_context.Self().m_host },
+    aState,
+    [self = shared_from_this(), last](bool aDone) {
+      kernel::LogEvent(kernel::LogLevel::Info,
+                       "batches",
+                       "retirement-reported",
+                       { { "empty", last }, { "taken", aDone } });
+      if (last && !aDone) {
+        self->m_timer.Set(kernel::Now() + kReportAgain);
+      }
+    });
+}
+
+} // namespace heatherdeal::batches
