--- /dev/null
+++ b/src/batches/tests/ownerstest.cpp
@@ -0,0 +1,233 @@
+// Several owners of one batch at once, over a model of the object store that
+// loses answers and carries writes out late. What a trainer has read must
+// never change.
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "catch2/catch.hpp"
+
+#include "batches/batchrun.h"
+#include "batches/ownership.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+constexpr size_t kItems = 24;
+constexpr size_t kOwners = 3;
+constexpr int kSteps = 600;
+
+core::Instant
+At(int aMilliseconds)
+{
+  return core::Instant(std::chrono::milliseconds(aMilliseconds));
+}
+
+using Chunks = std::map<uint64_t, ResultChunk>;
+
+/// A conditional create that may be carried out although its answer is lost,
+/// or later.
+struct PendingWrite
+{
+  int m_due = 0;
+  ResultChunk m_chunk;
+};
+
+struct Store
+{
+  Chunks m_chunks;
+  std::vector<PendingWrite> m_pending;
+
+  bool Create(const ResultChunk& aChunk)
+  {
+    return m_chunks.emplace(aChunk.m_number, aChunk).second;
+  }
+  void Advance(int aNow)
+  {
+    for (const PendingWrite& write : m_pending) {
+      if (write.m_due <= aNow) {
+        Create(write.m_chunk);
+      }
+    }
+    std::erase_if(m_pending, [aNow](const PendingWrite& aWrite) {
+      return aWrite.m_due <= aNow;
+    });
+  }
+};
+
+std::shared_ptr<const Submission>
+Batch()
+{
+  auto submission = std::make_shared<Submission>();
+  for (size_t i = 0; i < kItems; ++i) {
+    BatchItem item;
+    item.m_id.m_value = "i" + std::to_string(i);
+    submission->m_items.push_back(std::move(item));
+  }
+  return submission;
+}
+
+BatchRun
+Load(const Store& aStore)
+{
+  BatchPolicy policy;
+  policy.m_giveUpAt = At(1'000'000);
+  BatchRun run = MakeRun(Batch(), policy);
+  for (const auto& [number, chunk] : aStore.m_chunks) {
+    AdoptChunk(run, chunk);
+  }
+  return run;
+}
+
+/// What a trainer has read, by position.
+class Trainer
+{
+public:
+  void Read(const BatchRun& aRun)
+  {
+    for (size_t i = 0; i < aRun.m_listed.size(); ++i) {
+      const ItemResult& result = aRun.m_listed[i];
+      const std::string& text = std::get<Completed>(result.m_outcome).m_text;
+      if (i == m_read.size()) {
+        CHECK(m_items.insert(result.m_item.m_value).second);
+        m_read.emplace_back(result.m_item.m_value, text);
+      }
+      CHECK(m_read[i] == std::pair(result.m_item.m_value, text));
+    }
+  }
+  size_t Count() const { return m_read.size(); }
+
+private:
+  std::vector<std::pair<std::string, std::string>> m_read;
+  std::set<std::string> m_items;
+};
+
+class World
+{
+public:
+  explicit World(uint64_t aSeed)
+    : m_random(aSeed)
+  {
+    for (size_t i = 0; i < kOwners; ++i) {
+      m_owners.push_back(Load(m_store));
+    }
+  }
+
+  void Run()
+  {
+    for (int step = 0; step < kSteps; ++step) {
+      m_now += 40;
+      m_store.Advance(m_now);
+      BatchRun& owner = m_owners[m_random() % kOwners];
+      switch (m_random() % 8) {
+        case 0:
+          // Killed, and loaded again from what is durable.
+          owner = Load(m_store);
+          break;
+        case 1:
+          m_trainer.Read(owner);
+          break;
+        case 2:
+        case 3:
+          StoreResults(owner);
+          break;
+        default:
+          Generate(owner);
+          break;
+      }
+    }
+    Finish();
+  }
+
+private:
+  void Generate(BatchRun& aOwner)
+  {
+    const std::optional<size_t> item = NextToRun(aOwner, At(m_now));
+    if (!item) {
+      return;
+    }
+    const uint64_t number = StartRun(aOwner, *item, { "e" });
+    // Each run has a text of its own, so that a mix-up shows.
+    const std::string text = "run " + std::to_string(m_runs++);
+    EndRun(
+      aOwner, *item, number, { RunCompleted{}, text, 1, { { 1 } } }, At(m_now));
+  }
+
+  void StoreResults(BatchRun& aOwner)
+  {
+    if (!aOwner.m_writing && !NextChunk(aOwner, At(m_now))) {
+      return;
+    }
+    const ResultChunk chunk = *aOwner.m_writing;
+    switch (m_random() % 4) {
+      case 0:
+        // Nothing is known of the write; the owner tries again later.
+        m_store.m_pending.push_back(
+          { m_now + static_cast<int>(m_random() % 400), chunk });
+        return;
+      case 1:
+        m_store.Create(chunk);
+        return;
+      default:
+        break;
+    }
+    if (m_store.Create(chunk)) {
+      ChunkStored(aOwner);
+      return;
+    }
+    ChunkTaken(aOwner, m_store.m_chunks.at(chunk.m_number), At(m_now));
+  }
+
+  void Finish()
+  {
+    m_store.Advance(INT32_MAX);
+    BatchRun last = Load(m_store);
+    for (int i = 0; i < 1000 && !IsComplete(last); ++i) {
+      m_now += 200;
+      Generate(last);
+      if (last.m_writing || NextChunk(last, At(m_now))) {
+        REQUIRE(m_store.Create(*last.m_writing));
+        ChunkStored(last);
+      }
+    }
+    m_trainer.Read(last);
+    CHECK(m_trainer.Count() == kItems);
+  }
+
+  std::mt19937_64 m_random;
+  Store m_store;
+  std::vector<BatchRun> m_owners;
+  Trainer m_trainer;
+  int m_now = 0;
+  int m_runs = 0;
+};
+
+} // namespace
+
+TEST_CASE("owners at once never change what was read, nor list an item twice")
+{
+  for (uint64_t seed = 1; seed <= 500; ++seed) {
+    INFO("seed " << seed);
+    World world(seed);
+    world.Run();
+  }
+}
+
+TEST_CASE("hosts rank alike everywhere, and a lost host moves its batches only")
+{
+  const std::vector<std::string> all{ "a", "b", "c", "d" };
+  const std::vector<std::string> shuffled{ "d", "b", "a", "c" };
+  const std::vector<std::string> fewer{ "a", "b", "d" };
+  for (int i = 0; i < 200; ++i) {
+    const std::string batch = "batch-" + std::to_string(i);
+    const std::string owner = RankHosts(batch, all).front();
+    CHECK(RankHosts(batch, shuffled).front() == owner);
+    if (owner != "c") {
+      CHECK(RankHosts(batch, fewer).front() == owner);
+    }
+  }
+}
+
+} // namespace heatherdeal::batches
--- /dev/null
+++ b/src/configuration/tests/routetest.cpp
@@ -0,0 +1,86 @@
+#include "configuration/documentjson.h"
+
+#include <map>
+
+#include "catch2/catch.hpp"
+
+namespace heatherdeal::configuration {
+
+namespace {
+
+Route
+RouteAt(std::string aName, std::string aHost, std::string aPrefix)
+{
+  Route route;
+  route.m_name = std::move(aName);
+  route.m_host = std::move(aHost);
+  route.m_prefix = std::move(aPrefix);
+  route.m_services = { { { "s" }, 1 } };
+  return route;
+}
+
+Document
+ThreeRoutes()
+{
+  Document document;
+  document.m_generation = 4;
+  Service service;
+  service.m_name.m_value = "s";
+  document.m_services = { service };
+  document.m_routes = { RouteAt("short", "a", "/p/"),
+                        RouteAt("long", "a", "/p/q/"),
+                        RouteAt("other", "b", "/p/") };
+  document.m_routes[0].m_kind = StreamRequests{ true };
+  document.m_routes[1].m_kind = BatchSubmissions{};
+  return document;
+}
+
+std::string
+Found(std::string_view aHost, std::string_view aPath)
+{
+  const Document document = ThreeRoutes();
+  const Route* route = FindRoute(document, aHost, aPath);
+  return route == nullptr ? "" : route->m_name;
+}
+
+} // namespace
+
+TEST_CASE("the host and the longest prefix choose the route")
+{
+  CHECK(Found("a", "/p/x") == "short");
+  CHECK(Found("a", "/p/q/x") == "long");
+  CHECK(Found("b", "/p/q/x") == "other");
+  CHECK(Found("a", "/px").empty());
+  CHECK(Found("c", "/p/x").empty());
+}
+
+TEST_CASE("weights share out the requests of a route")
+{
+  Route route = RouteAt("r", "a", "/");
+  route.m_services = { { { "x" }, 3 }, { { "y" }, 0 }, { { "z" }, 1 } };
+  std::map<std::string, int> counts;
+  for (uint64_t ticket = 0; ticket < 400; ++ticket) {
+    counts[ServiceFor(route, ticket).m_value] += 1;
+  }
+  CHECK(counts["x"] == 300);
+  CHECK(counts["y"] == 0);
+  CHECK(counts["z"] == 100);
+}
+
+TEST_CASE("routes and limits survive encoding")
+{
+  const Document document = ThreeRoutes();
+  const ParsedDocument parsed = ParseDocument(ToJson(document));
+  REQUIRE(parsed.m_errors.empty());
+  CHECK(ToJson(parsed.m_document) == ToJson(document));
+}
+
+TEST_CASE("a route without slashes or with an unknown service is refused")
+{
+  Document document = ThreeRoutes();
+  document.m_routes[0].m_prefix = "p";
+  document.m_routes[2].m_services = { { { "nobody" }, 1 } };
+  CHECK(Validate(document).size() == 2);
+}
+
+} // namespace heatherdeal::configuration
--- a/src/gossip/digest.h
+++ b/src/gossip/digest.h
@@ -54,6 +54,6 @@
 inline constexpr size_t kMaxNameBytes = 64;
 inline constexpr size_t kMaxHostsPerDigest = 12;
 inline constexpr size_t kMaxVersionsPerDigest = 8;
-inline constexpr size_t kMaxKindsPerDigest = 4;
+inline constexpr size_t kMaxKindsPerDigest = 2;
 
 } // namespace heatherdeal::gossip
--- a/src/gossip/tests/digestcodectest.cpp
+++ b/src/gossip/tests/digestcodectest.cpp
@@ -21,6 +21,9 @@
   for (size_t i = 0; i < kMaxVersionsPerDigest; ++i) {
     digest.m_versions.push_back({ "weights", { i } });
   }
+  for (size_t i = 0; i < kMaxKindsPerDigest; ++i) {
+    digest.m_kinds.push_back({ std::string(kMaxNameBytes, 'k'), i });
+  }
   return digest;
 }
 
--- a/src/gossip/tests/memberstest.cpp
+++ b/src/gossip/tests/memberstest.cpp
@@ -204,6 +204,25 @@
   }
 }
 
+TEST_CASE("what one watch has missed is known everywhere within a second")
+{
+  // Two seconds are allowed for a change to be in force; finding it takes up
+  // to one.
+  Fleet fleet(12);
+  for (auto& host : fleet.m_hosts) {
+    host.m_state.m_policy.m_interval = milliseconds(300);
+    host.m_state.m_policy.m_fanout = 3;
+  }
+  fleet.m_queue.RunUntil(At(5));
+  fleet.Feed(4, ChangesMissed{ { "servers", 90 } });
+  fleet.m_queue.RunUntil(At(6));
+  for (const auto& host : fleet.m_hosts) {
+    CHECK(host.m_state.m_kinds.at("servers") == 90);
+  }
+  fleet.Feed(4, ChangesMissed{ { "servers", 80 } });
+  CHECK(fleet.m_hosts[4].m_state.m_kinds.at("servers") == 90);
+}
+
 TEST_CASE("versions are heard of once, and only newer ones")
 {
   GossipState state;
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -1,6 +1,7 @@
 #include "objectstore/objectstore.h"
 
 #include <future>
+#include <thread>
 
 #include "catch2/catch.hpp"
 
@@ -164,6 +165,126 @@
   CHECK(waitFor("b"));
 }
 
+namespace {
+
+/// A host that may be cut from the store, next to one that is not.
+struct Neighbours
+{
+  Store m_near;
+  http::Loopback m_farLoopback{ AnyPort() };
+  std::shared_ptr<ObjectStore> m_far;
+
+  explicit Neighbours(const core::Endpoint& aStoreOfFar)
+  {
+    m_farLoopback.Listen();
+    ObjectStoreSettings settings;
+    settings.m_endpoints = { aStoreOfFar };
+    settings.m_callTime = milliseconds(1500);
+    settings.m_budget = { 1000.0, 1000.0 };
+    m_far = std::make_shared<ObjectStore>(m_farLoopback.Kernel(), settings);
+  }
+
+  void Watch(std::string& aSeen, std::mutex& aMutex)
+  {
+    m_farLoopback.Kernel().Control().Post([&] {
+      m_far->Watch("kind", [&](std::span<const StoredObject> aObjects) {
+        const std::scoped_lock lock(aMutex);
+        aSeen = aObjects.empty() ? "" : aObjects.front().m_value;
+      });
+    });
+  }
+};
+
+/// A host that passes on calls and what it watches.
+struct Relaying
+{
+  http::Loopback m_loopback{ AnyPort() };
+  std::shared_ptr<ObjectStore> m_store;
+
+  explicit Relaying(const core::Endpoint& aStore)
+  {
+    ObjectStoreSettings settings;
+    settings.m_endpoints = { aStore };
+    settings.m_budget = { 1000.0, 1000.0 };
+    m_store = std::make_shared<ObjectStore>(m_loopback.Kernel(), settings);
+    m_loopback.Http().AddRoute(
+      { "POST", "/objectstore/relay", [this](http::Exchange& aExchange) {
+         return m_store->ServePeer(aExchange);
+       } });
+    m_loopback.Http().AddRoute(
+      { "GET", "/watch/", [this](http::Exchange& aExchange) {
+         return m_store->ServeRelay(aExchange);
+       } });
+    m_loopback.Listen();
+  }
+};
+
+core::Endpoint
+ClosedPort()
+{
+  const http::RawServer server("");
+  return server.Endpoint();
+}
+
+} // namespace
+
+TEST_CASE("a host that the store turns away writes by way of another")
+{
+  Store store;
+  const Relaying relay(store.m_loopback.Self());
+  Neighbours neighbours(ClosedPort());
+  const std::vector<core::Endpoint> peers{ relay.m_loopback.Self() };
+  neighbours.m_far->SetPeers(peers);
+  std::promise<absl::StatusOr<uint64_t>> done;
+  neighbours.m_farLoopback.Kernel().Control().Post([&] {
+    neighbours.m_far->Write({ "kind", "name" },
+                            0,
+                            "far",
+                            CallPriority::Lease,
+                            [&](absl::StatusOr<uint64_t> aVersion) {
+                              done.set_value(std::move(aVersion));
+                            });
+  });
+  CHECK(done.get_future().get().ok());
+  CHECK(store.Read()->m_value == "far");
+}
+
+TEST_CASE("a host follows what another watches, and the store without it")
+{
+  Store store;
+  std::mutex mutex;
+  std::string seen;
+  auto relay = std::make_unique<Relaying>(store.m_loopback.Self());
+  relay->m_loopback.Kernel().Control().Post([&] {
+    relay->m_store->Watch("kind", [](std::span<const StoredObject>) {});
+  });
+  Neighbours neighbours(store.m_loopback.Self());
+  const std::vector<core::Endpoint> relays{ relay->m_loopback.Self() };
+  neighbours.m_far->SetRelays(relays);
+  neighbours.Watch(seen, mutex);
+  const auto waitFor = [&](std::string_view aValue) {
+    for (int i = 0; i < 1000; ++i) {
+      {
+        const std::scoped_lock lock(mutex);
+        if (seen == aValue) {
+          return true;
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  };
+  const auto first = store.Write(0, "a");
+  REQUIRE(first.ok());
+  CHECK(waitFor("a"));
+  const auto second = store.Write(*first, "b");
+  REQUIRE(second.ok());
+  CHECK(waitFor("b"));
+  relay.reset();
+  REQUIRE(store.Write(*second, "c").ok());
+  CHECK(waitFor("c"));
+}
+
 TEST_CASE("the call budget keeps a part for higher priorities")
 {
   CallBudgetState state{ 8.0, core::Instant{} };
--- /dev/null
+++ b/src/relay/tests/eventstreamtest.cpp
@@ -0,0 +1,53 @@
+#include "relay/eventstream.h"
+
+#include "catch2/catch.hpp"
+
+namespace heatherdeal::relay {
+
+namespace {
+
+constexpr std::string_view kStream = "weights: 6\nid: 1\ndata: one\n\n"
+                                     "id: 2\r\ndata: two\r\ndata: more\r\n\r\n"
+                                     ": comment\nid: 3\ndata:three\n\n";
+
+} // namespace
+
+TEST_CASE("events come out whole however the stream is cut")
+{
+  for (size_t size = 1; size <= kStream.size(); ++size) {
+    INFO("parts of " << size);
+    EventStreamReader reader("weights");
+    std::vector<StreamEvent> events;
+    for (size_t at = 0; at < kStream.size(); at += size) {
+      for (StreamEvent& event : reader.Feed(kStream.substr(at, size))) {
+        events.push_back(std::move(event));
+      }
+    }
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].m_id == 1);
+    CHECK(events[0].m_data == "one");
+    CHECK(events[0].m_version == core::WeightVersion{ 6 });
+    CHECK(events[1].m_data == "two\nmore");
+    CHECK_FALSE(events[1].m_version);
+    CHECK(events[2].m_data == "three");
+  }
+}
+
+TEST_CASE("an event that did not end is not given out")
+{
+  EventStreamReader reader("weights");
+  CHECK(reader.Feed("id: 1\ndata: one\n").empty());
+  CHECK(reader.Feed("\n").size() == 1);
+  CHECK(reader.Feed("id: 2\ndata: tw").empty());
+}
+
+TEST_CASE("ids and versions that are no numbers name nothing")
+{
+  EventStreamReader reader("weights");
+  const auto events = reader.Feed("weights: x\nid: y\ndata: z\n\n");
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].m_id == 0);
+  CHECK_FALSE(events[0].m_version);
+}
+
+} // namespace heatherdeal::relay
