--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -1,6 +1,6 @@
 # The package for programs that embed the coordination parts.
 set(public_headers
-  core/failure.h core/ids.h core/instant.h core/overloaded.h core/sample.h
+  core/failure.h core/ids.h core/instant.h core/overloaded.h core/rendezvous.h core/sample.h
   core/weightversion.h
   configuration/document.h
   delivery/deliverywindow.h delivery/doneset.h delivery/trainercursor.h
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "batches/internal/objectnames.h"
-#include "batches/ownership.h"
 #include "core/failure.h"
+#include "core/rendezvous.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
 
@@ -68,10 +68,10 @@
     (m_gossip->IsAlive(host.m_name) ? alive : leaving).push_back(host.m_name);
   }
   std::vector<objectstore::HostEntry> candidates;
-  for (const std::string& name : RankHosts(aBatch.m_value, alive)) {
+  for (const std::string& name : core::RankHosts(alive, aBatch.m_value)) {
     candidates.push_back(entries[name]);
   }
-  for (const std::string& name : RankHosts(aBatch.m_value, leaving)) {
+  for (const std::string& name : core::RankHosts(leaving, aBatch.m_value)) {
     candidates.push_back(entries[name]);
   }
   const std::scoped_lock lock(m_mutex);
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -2,7 +2,7 @@
 
 #include "batches/internal/batchjson.h"
 #include "batches/internal/objectnames.h"
-#include "batches/ownership.h"
+#include "core/rendezvous.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
 #include "objectstore/hosts.h"
@@ -173,7 +173,7 @@
       alive.push_back(host.m_name);
     }
   }
-  const std::vector<std::string> ranked = RankHosts(aBatch.m_value, alive);
+  const std::vector<std::string> ranked = core::RankHosts(alive, aBatch.m_value);
   return !ranked.empty() && ranked.front() == m_context.Self().m_host;
 }
 
--- a/src/batches/tests/ownerstest.cpp
+++ b/src/batches/tests/ownerstest.cpp
@@ -9,7 +9,7 @@
 #include "catch2/catch.hpp"
 
 #include "batches/batchrun.h"
-#include "batches/ownership.h"
+#include "core/rendezvous.h"
 
 namespace heatherdeal::batches {
 
@@ -222,10 +222,10 @@
   const std::vector<std::string> fewer{ "a", "b", "d" };
   for (int i = 0; i < 200; ++i) {
     const std::string batch = "batch-" + std::to_string(i);
-    const std::string owner = RankHosts(batch, all).front();
-    CHECK(RankHosts(batch, shuffled).front() == owner);
+    const std::string owner = core::RankHosts(all, batch).front();
+    CHECK(core::RankHosts(shuffled, batch).front() == owner);
     if (owner != "c") {
-      CHECK(RankHosts(batch, fewer).front() == owner);
+      CHECK(core::RankHosts(fewer, batch).front() == owner);
     }
   }
 }
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -28,6 +28,8 @@
   std::vector<std::string> m_refreshKinds;
   /// Hosts of this role pass on what they watch; "": nobody is asked.
   std::string m_relayRole;
+  /// This host has that role and may be one of those that watch.
+  bool m_servesRelay = false;
   core::Duration m_refreshInterval = std::chrono::milliseconds(500);
 };
 
@@ -76,6 +78,9 @@
   void Run(const LeavingHeard& aEffect);
   void PlanRefresh();
   void ChooseRelays();
+  /// The hosts that watch the store for those of the relaying role; none if
+  /// this host is one of them.
+  std::vector<core::Endpoint> Watchers() const;
   /// Hosts of a role, or of any, those of the own failure domain first.
   std::vector<core::Endpoint> AliveHosts(std::string_view aRole) const;
   void SetHosts(std::span<const objectstore::HostEntry> aHosts);
--- a/src/gossip/gossipmodule.cpp
+++ b/src/gossip/gossipmodule.cpp
@@ -45,6 +45,7 @@
   settings.m_policy.m_piggyback = static_cast<uint32_t>(aReader.IntegerOr(
     "piggyback", { 0, kMaxHostsPerDigest - 1 }, settings.m_policy.m_piggyback));
   settings.m_relayRole = aReader.TextOr("relay_role", "");
+  settings.m_servesRelay = aReader.FlagOr("serves_relay", false);
   settings.m_refreshKinds = aReader.TextsOr("refresh_kinds");
   settings.m_refreshInterval = aReader.MillisecondsOr(
     "refresh_interval_ms", kMilliseconds, settings.m_refreshInterval);
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -4,6 +4,7 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 
+#include "core/rendezvous.h"
 #include "gossip/internal/digestcodec.h"
 #include "http/client.h"
 #include "kernel/eventlog.h"
@@ -17,6 +18,8 @@
 using asio::ip::udp;
 
 constexpr size_t kLoopIndex = 0;
+// Hosts of the relaying role that watch the store themselves.
+constexpr size_t kWatchers = 2;
 constexpr uint32_t kOk = 200;
 constexpr core::Duration kFetchTime = std::chrono::seconds(2);
 
@@ -210,14 +213,41 @@
   return near;
 }
 
+std::vector<core::Endpoint>
+Gossip::Watchers() const
+{
+  const std::string& self = m_context.Self().m_host;
+  std::vector<std::string> hosts{ self };
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.m_role == m_settings.m_relayRole && IsAlive(name)) {
+      hosts.push_back(name);
+    }
+  }
+  hosts = core::RankHosts(hosts, m_settings.m_relayRole);
+  hosts.resize(std::min(hosts.size(), kWatchers));
+  std::vector<core::Endpoint> watchers;
+  for (const std::string& name : hosts) {
+    if (name == self) {
+      return {};
+    }
+    watchers.push_back(m_peers.at(name).m_http);
+  }
+  return watchers;
+}
+
 void
 Gossip::ChooseRelays()
 {
   const auto store = m_context.Get<objectstore::ObjectStore>();
   store->SetPeers(AliveHosts(""));
-  if (!m_settings.m_relayRole.empty()) {
-    store->SetRelays(AliveHosts(m_settings.m_relayRole));
+  if (m_settings.m_relayRole.empty()) {
+    return;
   }
+  // Two hosts of the role watch, its others follow these, all else follows
+  // any host of the role: nobody follows in a circle.
+  store->SetRelays(m_settings.m_servesRelay
+                     ? Watchers()
+                     : AliveHosts(m_settings.m_relayRole));
 }
 
 void
@@ -312,11 +342,12 @@
   if (m_settings.m_refreshKinds.empty()) {
     return;
   }
+  // Those that watch take turns; the others hear of it from them.
+
   // Hosts draw their times apart from each other; together they list once in
   // each interval.
-  const size_t hosts = m_state.m_members.size() + 1;
   const core::Duration mean =
-    m_settings.m_refreshInterval * static_cast<int64_t>(hosts);
+    m_settings.m_refreshInterval * static_cast<int64_t>(kWatchers);
   const auto jitter =
     static_cast<int64_t>(m_state.m_random() % 1000) * mean.count() / 1000;
   m_refresh.Set(kernel::Now() + mean / 2 + core::Duration(jitter));
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -233,7 +233,7 @@
 KindWatch::Publish()
 {
   std::shared_ptr<RelayedKind> kind;
-  if (m_revision && !m_lostAt && !m_relayed) {
+  if (m_revision && !m_lostAt) {
     kind = std::make_shared<RelayedKind>();
     kind->m_revision = *m_revision;
     std::vector<StoredObject> objects;
