--- a/src/gossip/decisions/members.cpp
+++ b/src/gossip/decisions/members.cpp
@@ -73,14 +73,14 @@
   for (const auto& [name, member] : aState.m_members) {
     members.push_back(&member);
   }
-  // The latest news first: it is the least known.
+  // Drawn anew for each round: choosing the latest news would leave out the
+  // same hosts again and again.
   const size_t count = std::min<size_t>(
     { members.size(), aState.m_policy.m_piggyback, kMaxHostsPerDigest - 1 });
-  std::ranges::partial_sort(
-    members,
-    members.begin() + static_cast<std::ptrdiff_t>(count),
-    std::ranges::greater(),
-    [](const Member* aMember) { return aMember->m_heardAt; });
+  for (size_t i = 0; i < count; ++i) {
+    const size_t drawn = i + aState.m_random() % (members.size() - i);
+    std::swap(members[i], members[drawn]);
+  }
   for (size_t i = 0; i < count; ++i) {
     digest.m_hosts.push_back(members[i]->m_news);
   }
@@ -251,7 +251,10 @@
   }
   const core::Duration silence = aNow - found->second.m_heardAt;
   // Messages that wait in this host's own queue are no silence of others.
-  return silence > aState.m_policy.m_suspectAfter + 2 * aState.m_ownDelay;
+  const auto hosts = static_cast<int64_t>(aState.m_members.size());
+  const core::Duration patience = std::max(
+    aState.m_policy.m_suspectAfter, aState.m_policy.m_suspectPerHost * hosts);
+  return silence > patience + 2 * aState.m_ownDelay;
 }
 
 } // namespace heatherdeal::gossip
--- a/src/gossip/digest.h
+++ b/src/gossip/digest.h
@@ -52,7 +52,7 @@
 
 /// Bounds that a decoder holds before it makes room.
 inline constexpr size_t kMaxNameBytes = 64;
-inline constexpr size_t kMaxHostsPerDigest = 12;
+inline constexpr size_t kMaxHostsPerDigest = 24;
 inline constexpr size_t kMaxVersionsPerDigest = 8;
 inline constexpr size_t kMaxKindsPerDigest = 2;
 
--- a/src/gossip/members.h
+++ b/src/gossip/members.h
@@ -20,6 +20,8 @@
   uint32_t m_fanout = 2;
   /// A host that has not been heard of for so long is suspected.
   core::Duration m_suspectAfter = std::chrono::seconds(5);
+  /// At least so much for each host: news of each comes less often.
+  core::Duration m_suspectPerHost = std::chrono::milliseconds(45);
   /// Entries about other hosts in each message.
   uint32_t m_piggyback = 6;
 };
--- a/src/gossip/tests/memberstest.cpp
+++ b/src/gossip/tests/memberstest.cpp
@@ -162,6 +162,28 @@
   }
 }
 
+TEST_CASE("among eighty hosts nobody that talks is suspected")
+{
+  Fleet fleet(80, 1);
+  for (auto& host : fleet.m_hosts) {
+    host.m_state.m_policy.m_interval = milliseconds(300);
+    host.m_state.m_policy.m_fanout = 5;
+    host.m_state.m_policy.m_piggyback = 22;
+    host.m_state.m_policy.m_suspectAfter = milliseconds(1800);
+  }
+  size_t suspicions = 0;
+  for (int second = 6; second < 26; ++second) {
+    fleet.m_queue.RunUntil(At(second));
+    for (const auto& host : fleet.m_hosts) {
+      for (const auto& [name, member] : host.m_state.m_members) {
+        suspicions += IsSuspect(host.m_state, name, At(second)) ? 1 : 0;
+      }
+    }
+  }
+  // One in ten thousand is heard of again before anything comes of it.
+  CHECK(suspicions <= 20 * 80 * 79 / 10'000);
+}
+
 TEST_CASE("a host that was slow itself accuses nobody")
 {
   GossipState state;
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -12,7 +12,7 @@
 namespace heatherdeal::protocol {
 
 /// Largest datagram between processes, in bytes.
-inline constexpr size_t kMaxFrameBytes = 1400;
+inline constexpr size_t kMaxFrameBytes = 2800;
 
 /// Keys that authenticate datagrams. Frames are signed with the active key
 /// and accepted with any of them, so that keys can be exchanged one by one.
