--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -18,7 +18,7 @@
   /// Items that are not done by then are given up.
   core::Instant m_giveUpAt{};
   /// How long results are gathered before they are stored together.
-  core::Duration m_gather = std::chrono::milliseconds(150);
+  core::Duration m_gather = std::chrono::milliseconds(200);
 };
 
 /// Waits for an engine, from m_from on.
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -18,6 +18,7 @@
 // Waits of a watch while lapsed objects are kept.
 constexpr core::Duration kLeastWait = std::chrono::milliseconds(10);
 constexpr core::Duration kMostWait = std::chrono::seconds(2);
+constexpr core::Duration kGatherTime = std::chrono::milliseconds(200);
 // A relay that has stopped is noticed within the sum of both.
 constexpr core::Duration kRelayWait = std::chrono::milliseconds(700);
 constexpr core::Duration kRelayGrace = std::chrono::milliseconds(400);
@@ -180,6 +181,10 @@
       NoteMissed(before);
     }
     Announce();
+    if (relay == nullptr && m_task.m_lapseGrace > core::Duration::zero()) {
+      // Hosts change often and one by one: several changes make one call.
+      co_await kernel::SleepUntil(kernel::Now() + kGatherTime);
+    }
   }
 }
 
