--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr const char* kUsage =
-  "check FILE | diff FILE | apply FILE | show | dump ADDRESS:PORT";
+  "check FILE | diff FILE | apply FILE | show | dump ADDRESS:PORT | "
+  "explain ID LOG...";
 
 /// A command, or the code to exit with.
 using ParsedCommand = std::variant<Command, ToolExit>;
@@ -34,6 +35,9 @@
   if (verb == "check" && !operand.empty()) {
     return CheckCommand{ operand };
   }
+  if (verb == "explain" && words.size() > 2) {
+    return ExplainCommand{ operand, { words.begin() + 2, words.end() } };
+  }
   if (verb == "dump") {
     const auto process = tools::ParseEndpoint(operand);
     if (!process.ok()) {
@@ -65,7 +69,7 @@
 ParseCommand(int aArgc, const char* const* aArgv)
 {
   cxxopts::Options options("heatherdealctl",
-                           "Checks, submits and shows configurations");
+                           "Checks, submits and shows configurations; explains failures");
   options.positional_help(kUsage);
   options.add_options()("h,help", "print this help")("version",
                                                      "print the version")(
--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -187,6 +187,7 @@
   void StartScores(const OwnedPtr& aOwned);
   bool StartScoring(const OwnedPtr& aOwned, size_t aItem);
   void StoreResults(const OwnedPtr& aOwned);
+  void LogLost(const OwnedPtr& aOwned, const ResultChunk& aChunk) const;
   void WriteChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk);
   void ReadTakenChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk);
   void AbortWork(OwnedBatch& aOwned);
@@ -202,6 +203,8 @@
   std::shared_ptr<relay::Relay> m_relay;
   std::map<std::string, Placement, std::less<>> m_placements;
   std::map<std::string, OwnedPtr, std::less<>> m_owned;
+  /// Until when a batch is not taken over again.
+  std::map<std::string, core::Instant, std::less<>> m_takeoversRestUntil;
   std::map<std::string, std::vector<SubmitCallback>, std::less<>> m_submits;
   kernel::DeadlineTimer m_timer;
   kernel::DeadlineTimer m_housekeeping;
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -15,6 +15,7 @@
 struct ItemRunTask
 {
   http::Request m_request;
+  std::string m_batchId;
   std::string m_itemId;
   std::shared_ptr<routing::Ticket> m_ticket;
   /// Event behind which the text goes on; 0: from the start.
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -13,6 +13,7 @@
 
 // Before it has heard the others a host believes nobody gone.
 constexpr core::Duration kAcquaintanceTime = std::chrono::seconds(4);
+constexpr core::Duration kTakeoverRest = std::chrono::milliseconds(800);
 
 int64_t
 UnixMilliseconds()
@@ -180,6 +181,12 @@
 void
 Batches::TakeOver(const Placement& aPlacement)
 {
+  // One write at a time, and a pause where the store refuses.
+  core::Instant& until = m_takeoversRestUntil[aPlacement.m_batch.m_value];
+  if (kernel::Now() < until) {
+    return;
+  }
+  until = kernel::Now() + kTakeoverRest;
   kernel::LogEvent(kernel::LogLevel::Info,
                    "batches",
                    "takeover",
@@ -243,6 +250,7 @@
     kernel::LogEvent(
       kernel::LogLevel::Info, "batches", "batch-expired", { { "batch", id } });
     m_placements.erase(id);
+    m_takeoversRestUntil.erase(id);
     Drop(std::string(id));
   }
 }
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -125,6 +125,7 @@
                kernel::Context& aContext,
                size_t aLoop,
                relay::RoutedCall aCall,
+               ItemId aItem,
                std::function<void(ScoreEnding)> aDone)
 {
   const std::string id = aCall.m_id;
@@ -137,6 +138,7 @@
       "batches",
       "score-failed",
       { { "request", id },
+        { "item", aItem.m_value },
         { "reason",
           answer.ok() ? std::to_string(answer->m_answer.m_head.m_status)
                       : http::DescribeStatus(answer.status()) } });
@@ -310,6 +312,7 @@
   const BatchItem& item = submission.m_items[aItem];
   ItemRunTask task;
   task.m_request = RequestOf(submission, item);
+  task.m_batchId = submission.m_id.m_value;
   task.m_itemId = item.m_id.m_value;
   task.m_ticket = std::make_shared<routing::Ticket>(pool, *chosen);
   routing::UpstreamMeter& meter = *task.m_ticket->Chosen().m_meter;
@@ -393,17 +396,45 @@
   };
   asio::co_spawn(
     m_context.Traffic().Loop(loop),
-    ScoreAndReport(m_relay, m_context, loop, std::move(call), std::move(done)),
+    ScoreAndReport(m_relay,
+                   m_context,
+                   loop,
+                   std::move(call),
+                   aOwned->m_run.m_submission->m_items[aItem].m_id,
+                   std::move(done)),
     asio::detached);
   return true;
 }
 
+void
+Batches::LogLost(const OwnedPtr& aOwned, const ResultChunk& aChunk) const
+{
+  for (const ItemResult& result : aChunk.m_results) {
+    if (!std::holds_alternative<Lost>(result.m_outcome)) {
+      continue;
+    }
+    const BatchRun& run = aOwned->m_run;
+    const ItemState& item =
+      run.m_items[run.m_indexes.at(result.m_item.m_value)];
+    kernel::LogEvent(kernel::LogLevel::Info,
+                     "batches",
+                     "item-lost",
+                     { { "batch", aOwned->m_id.m_value },
+                       { "item", result.m_item.m_value },
+                       { "failed_runs", item.m_failedRuns },
+                       { "failed_scores", item.m_failedScores },
+                       { "last_engine", item.m_lastEngine.m_value },
+                       { "last_event", item.m_events } });
+  }
+}
+
 void
 Batches::StoreResults(const OwnedPtr& aOwned)
 {
   const std::optional<ResultChunk> chunk =
     NextChunk(aOwned->m_run, kernel::Now());
   if (chunk) {
+    LogLost(aOwned, *chunk);
     WriteChunk(aOwned, *chunk);
   }
 }
--- a/src/operatortool/commands.cpp
+++ b/src/operatortool/commands.cpp
@@ -6,6 +6,7 @@
 
 #include "configuration/documentjson.h"
 #include "http/exchange.h"
+#include "operatortool/explain.h"
 #include "operatortool/storecalls.h"
 
 namespace heatherdeal::operatortool {
@@ -213,6 +214,26 @@
   return answer->m_head.m_status == kOk ? ToolExit::Ok : ToolExit::Unreachable;
 }
 
+ToolExit
+RunTyped(const ExplainCommand& aCommand)
+{
+  std::vector<std::string> logs;
+  for (const std::string& file : aCommand.m_files) {
+    std::optional<std::string> text = ReadFile(file);
+    if (!text) {
+      return Fail(ToolExit::Invalid,
+                  core::InvalidSetting{ "FILE", file, "a readable file" });
+    }
+    logs.push_back(*std::move(text));
+  }
+  const std::vector<boost::json::object> story =
+    CollectStory(aCommand.m_id, logs);
+  for (const boost::json::object& event : story) {
+    std::cout << ToLine(event) << '\n';
+  }
+  return story.empty() ? ToolExit::NotFound : ToolExit::Ok;
+}
+
 } // namespace
 
 ToolExit
--- a/src/operatortool/commands.h
+++ b/src/operatortool/commands.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/ids.h"
 
@@ -43,8 +44,19 @@
   std::string m_operatorToken;
 };
 
-using Command = std::
-  variant<CheckCommand, DiffCommand, ApplyCommand, ShowCommand, DumpCommand>;
+/// Tells from logs what has become of a request, an item or a batch.
+struct ExplainCommand
+{
+  std::string m_id;
+  std::vector<std::string> m_files;
+};
+
+using Command = std::variant<CheckCommand,
+                             DiffCommand,
+                             ApplyCommand,
+                             ShowCommand,
+                             DumpCommand,
+                             ExplainCommand>;
 
 /// Exit codes of the tool.
 enum class ToolExit : int
@@ -55,6 +67,7 @@
   Invalid = 3,
   Conflict = 4,
   Unreachable = 5,
+  NotFound = 6,
 };
 
 /// Runs the command and prints its result.
--- /dev/null
+++ b/src/operatortool/tests/explaintest.cpp
@@ -0,0 +1,65 @@
+#include "operatortool/explain.h"
+
+#include "catch2/catch.hpp"
+
+namespace heatherdeal::operatortool {
+
+namespace {
+
+// Recorded lines of two processes, shortened.
+const std::vector<std::string> kLogs{
+  R"(  0.1 rollout-1 {"t":100,"process":"r1","part":"batches","event":"submission","batch":"b1","outcome":"accepted"}
+{"t":300,"process":"r1","part":"batches","event":"run-ended","batch":"b1","item":"i1","outcome":"broken"}
+{"t":310,"process":"r1","part":"batches","event":"run-ended","batch":"b1","item":"i2","outcome":"completed"}
+{"t":400,"process":"r1","part":"batches","event":"score-failed","request":"s1","item":"i1","reason":"500"}
+{"t":390,"process":"r1","part":"relay","event":"attempt-failed","request":"s1","failure":"deadline-exceeded"}
+not a line of ours
+{"t":500,"process":"r1","part":"batches","event":"item-lost","batch":"b1","item":"i1","failed_scores":4})",
+  R"({"t":50,"process":"e1","part":"entry","event":"answered","request":"b1","status":202}
+{"t":600,"process":"e1","part":"entry","event":"answered","request":"","path":"/lots/b1","status":503}
+{"t":700,"process":"e1","part":"entry","event":"answered","request":"q1","status":504})",
+};
+
+std::vector<std::string>
+EventsOf(std::string_view aId)
+{
+  std::vector<std::string> events;
+  for (const boost::json::object& event : CollectStory(aId, kLogs)) {
+    events.emplace_back(event.at("event").as_string());
+  }
+  return events;
+}
+
+} // namespace
+
+TEST_CASE("an item's story holds its batch, its scoring and no other item")
+{
+  CHECK(EventsOf("i1") == std::vector<std::string>{ "answered",
+                                                    "submission",
+                                                    "run-ended",
+                                                    "attempt-failed",
+                                                    "score-failed",
+                                                    "item-lost",
+                                                    "answered" });
+}
+
+TEST_CASE("a request's story holds its own lines only")
+{
+  CHECK(EventsOf("q1") == std::vector<std::string>{ "answered" });
+  CHECK(EventsOf("nobody").empty());
+}
+
+TEST_CASE("a batch's story holds all its items, in order of time")
+{
+  CHECK(EventsOf("b1").size() == 6);
+  CHECK(EventsOf("b1").front() == "answered");
+}
+
+TEST_CASE("a line for people begins with when, where and what")
+{
+  const auto story = CollectStory("q1", kLogs);
+  REQUIRE(story.size() == 1);
+  CHECK(ToLine(story[0]) == "700 e1 entry answered request=q1 status=504");
+}
+
+} // namespace heatherdeal::operatortool
