--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -330,8 +330,12 @@
   const size_t loop = m_context.Traffic().NextIndex();
   aOwned->m_work[aItem] = { loop, task.m_abort };
   m_context.Metrics().Get("batches.runs").Add();
-  auto done = [self = shared_from_this(), aOwned, aItem, number](
+  const core::Instant startedAt = task.m_startedAt;
+  auto done = [self = shared_from_this(), aOwned, aItem, number, startedAt](
                 RunReport aReport) {
+    self->m_context.Metrics()
+      .Latency("batches.run")
+      .Add(kernel::Now() - startedAt);
     if (!self->IsOwned(aOwned)) {
       return;
     }
--- a/src/configuration/internal/active.cpp
+++ b/src/configuration/internal/active.cpp
@@ -1,7 +1,7 @@
 #include "configuration/active.h"
 
 #include "configuration/documentjson.h"
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
 
 namespace heatherdeal::configuration {
 
@@ -36,10 +36,11 @@
   m_identity = offered;
   m_document.Publish(std::move(parsed.m_document));
   m_counters.Get("configuration.accepted").Add();
-  kernel::Log(kernel::LogLevel::Info,
-              "configuration",
-              "event=in-force generation=" +
-                std::to_string(offered.m_generation));
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "configuration",
+                   "in-force",
+                   { { "generation", offered.m_generation },
+                     { "digest", offered.m_digest } });
   const auto document = Read();
   for (const Listener& listener : m_listeners) {
     listener(*document);
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -9,7 +9,7 @@
 #include "boost/beast/http/string_body.hpp"
 
 #include "http/internal/readlimit.h"
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
 
 namespace heatherdeal::http {
 
@@ -221,8 +221,11 @@
   }
   if (!thrown.empty()) {
     m_server->Kernel().Metrics().Get("http.handler_threw").Add();
-    kernel::Log(
-      kernel::LogLevel::Error, "http", "event=handler-threw " + thrown);
+    kernel::LogEvent(kernel::LogLevel::Error,
+                     "http",
+                     "handler-threw",
+                     { { "path", PathOf(aExchange.Asked().m_target) },
+                       { "reason", thrown } });
   }
   if (!aExchange.HasBegun()) {
     const core::Failure failure =
--- a/src/kernel/internal/log.cpp
+++ b/src/kernel/internal/log.cpp
@@ -104,12 +104,6 @@
   state.m_writer->Push(aLevel, boost::json::serialize(line));
 }
 
-void
-Log(LogLevel aLevel, std::string_view aPart, std::string_view aMessage)
-{
-  LogEvent(aLevel, aPart, "message", { { "text", aMessage } });
-}
-
 void
 LogFailure(LogLevel aLevel,
            std::string_view aPart,
--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -226,7 +226,7 @@
   AwaitReload(reloads, std::move(aReload));
   ExitCode code = ExitCode::Ok;
   DeadlineTimer drainTimer(aContext.Control(), [&] {
-    Log(LogLevel::Error, "kernel", "event=drain-timed-out");
+    LogEvent(LogLevel::Error, "kernel", "drain-timed-out", {});
     code = ExitCode::DrainTimedOut;
     aContext.Control().Stop();
   });
@@ -245,7 +245,10 @@
   aContext.Control().Run();
   aContext.Traffic().Stop();
   if (!aContext.Failed().ok()) {
-    Log(LogLevel::Error, "kernel", aContext.Failed().ToString());
+    LogEvent(LogLevel::Error,
+             "kernel",
+             "failed",
+             { { "reason", aContext.Failed().ToString() } });
     return ExitCode::StartFailed;
   }
   return code;
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -22,10 +22,6 @@
 void
 StopLogging();
 
-/// One line with a message in words; prefer LogEvent.
-void
-Log(LogLevel aLevel, std::string_view aPart, std::string_view aMessage);
-
 /// Logs a failure with its type and fields.
 void
 LogFailure(LogLevel aLevel,
--- a/src/lease/internal/leaseclient.cpp
+++ b/src/lease/internal/leaseclient.cpp
@@ -1,7 +1,7 @@
 #include "lease/leaseclient.h"
 
 #include "http/exchange.h"
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
 #include "lease/internal/leaserecord.h"
 
 namespace heatherdeal::lease {
@@ -89,18 +89,22 @@
 void
 LeaseClient::Run(const LeaseGranted& aEffect)
 {
-  kernel::Log(kernel::LogLevel::Info,
-              "lease",
-              "event=granted lease=" + m_key.m_name +
-                " epoch=" + std::to_string(aEffect.m_epoch));
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "lease",
+    "granted",
+    { { "lease", m_key.m_name }, { "epoch", aEffect.m_epoch } });
   m_callbacks.m_granted(aEffect.m_epoch);
 }
 
 void
 LeaseClient::Run(const LeaseLost& aEffect)
 {
-  kernel::Log(
-    kernel::LogLevel::Info, "lease", "event=lost lease=" + m_key.m_name);
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "lease",
+    "lost",
+    { { "lease", m_key.m_name }, { "new_holder", aEffect.m_newHolder } });
   m_callbacks.m_lost(aEffect.m_newHolder);
 }
 
--- a/src/objectstore/internal/storepath.cpp
+++ b/src/objectstore/internal/storepath.cpp
@@ -66,8 +66,15 @@
   const core::Endpoint peer =
     m_endpoints[m_nextEndpoint++ % m_endpoints.size()];
   http::Request request = aRequest;
+  const core::Instant sentAt = kernel::Now();
   absl::StatusOr<http::Answer> answer = co_await m_client.Call(
     peer, std::move(request), http::Reuse::Allowed, aDeadline);
+  m_context.Metrics()
+    .Latency("objectstore.call")
+    .Add(kernel::Now() - sentAt);
+  const std::string outcome =
+    answer.ok() ? std::to_string(answer->m_head.m_status) : "unanswered";
+  m_context.Metrics().Get("objectstore.answer_" + outcome).Add();
   co_return answer;
 }
 
--- a/src/standin/caller/callermodule.cpp
+++ b/src/standin/caller/callermodule.cpp
@@ -9,7 +9,7 @@
 
 #include "http/httpmodule.h"
 #include "kernel/json.h"
-#include "kernel/log.h"
+#include "kernel/eventlog.h"
 #include "kernel/plugin.h"
 #include "standin/endpoints.h"
 #include "standin/engine/generation.h"
@@ -214,10 +214,12 @@
     entry, std::move(request), reuse, kernel::Now() + kCallTime);
   if (!answer.ok()) {
     aLocator.Reject();
-    kernel::Log(kernel::LogLevel::Warning,
-                "caller",
-                "event=unanswered id=" + aId + " peer=" + http::ToText(entry) +
-                  " " + std::string(answer.status().message()));
+    kernel::LogEvent(kernel::LogLevel::Warning,
+                     "caller",
+                     "unanswered",
+                     { { "request", aId },
+                       { "peer", http::ToText(entry) },
+                       { "reason", http::DescribeStatus(answer.status()) } });
   }
   const std::scoped_lock lock(m_mutex);
   m_counts.m_requests += 1;
