--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -68,8 +68,9 @@
 ParsedCommand
 ParseCommand(int aArgc, const char* const* aArgv)
 {
-  cxxopts::Options options("heatherdealctl",
-                           "Checks, submits and shows configurations; explains failures");
+  cxxopts::Options options(
+    "heatherdealctl",
+    "Checks, submits and shows configurations; explains failures");
   options.positional_help(kUsage);
   options.add_options()("h,help", "print this help")("version",
                                                      "print the version")(
--- a/src/batches/batchesmodule.cpp
+++ b/src/batches/batchesmodule.cpp
@@ -20,8 +20,8 @@
   settings.m_enabled = aReader.FlagOr("enabled", false);
   settings.m_keep =
     aReader.MillisecondsOr("keep_ms", kMilliseconds, settings.m_keep);
-  settings.m_drainTime =
-    aReader.MillisecondsOr("drain_time_ms", kMilliseconds, settings.m_drainTime);
+  settings.m_drainTime = aReader.MillisecondsOr(
+    "drain_time_ms", kMilliseconds, settings.m_drainTime);
   return settings;
 }
 
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -48,8 +48,8 @@
 struct ItemDone
 {};
 
-using ItemPhase = std::
-  variant<ItemWaiting, ItemRunning, ItemUnscored, ItemScoring, ItemDone>;
+using ItemPhase =
+  std::variant<ItemWaiting, ItemRunning, ItemUnscored, ItemScoring, ItemDone>;
 
 struct ItemState
 {
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -251,9 +251,8 @@
     return;
   }
   Append(item, aReport);
-  std::visit(
-    [&](const auto& aEnding) { OnEnding(aRun, aItem, aEnding, aNow); },
-    aReport.m_ending);
+  std::visit([&](const auto& aEnding) { OnEnding(aRun, aItem, aEnding, aNow); },
+             aReport.m_ending);
 }
 
 std::optional<size_t>
@@ -293,24 +292,24 @@
   if (scoring == nullptr || scoring->m_run != aNumber || aRun.m_ended) {
     return;
   }
-  std::visit(core::Overloaded{
-               [&](const Scored& aScored) {
-                 Complete(aRun, aItem, aScored.m_proof, aNow);
-               },
-               [&](const ScoreFailed&) {
-                 item.m_failedScores += 1;
-                 const uint32_t limit =
-                   std::max(aAttempts, aRun.m_policy.m_attempts);
-                 if (item.m_failedScores >= limit) {
-                   Decide(aRun, aItem, Lost{}, aNow);
-                   return;
-                 }
-                 item.m_phase = ItemUnscored{ aNow + kAfterFailure };
-               },
-               [&](const ScoreUnavailable&) {
-                 item.m_phase = ItemUnscored{ aNow + kAfterNoScore };
-               } },
-             aEnding);
+  std::visit(
+    core::Overloaded{ [&](const Scored& aScored) {
+                       Complete(aRun, aItem, aScored.m_proof, aNow);
+                     },
+                      [&](const ScoreFailed&) {
+                        item.m_failedScores += 1;
+                        const uint32_t limit =
+                          std::max(aAttempts, aRun.m_policy.m_attempts);
+                        if (item.m_failedScores >= limit) {
+                          Decide(aRun, aItem, Lost{}, aNow);
+                          return;
+                        }
+                        item.m_phase = ItemUnscored{ aNow + kAfterFailure };
+                      },
+                      [&](const ScoreUnavailable&) {
+                        item.m_phase = ItemUnscored{ aNow + kAfterNoScore };
+                      } },
+    aEnding);
 }
 
 void
@@ -330,8 +329,7 @@
 NextChunk(BatchRun& aRun, core::Instant aNow)
 {
   const bool due =
-    !aRun.m_ready.empty() &&
-    (aRun.m_storeFrom <= aNow || AllDecided(aRun));
+    !aRun.m_ready.empty() && (aRun.m_storeFrom <= aNow || AllDecided(aRun));
   if (aRun.m_writing || !due || aRun.m_ended) {
     return std::nullopt;
   }
@@ -411,12 +409,12 @@
     next = std::min(next, aRun.m_storeFrom);
   }
   for (const ItemState& item : aRun.m_items) {
-    const core::Instant from = std::visit(
-      core::Overloaded{
-        [](const ItemWaiting& aPhase) { return aPhase.m_from; },
-        [](const ItemUnscored& aPhase) { return aPhase.m_from; },
-        [](const auto&) { return core::Instant::max(); } },
-      item.m_phase);
+    const core::Instant from =
+      std::visit(core::Overloaded{
+                   [](const ItemWaiting& aPhase) { return aPhase.m_from; },
+                   [](const ItemUnscored& aPhase) { return aPhase.m_from; },
+                   [](const auto&) { return core::Instant::max(); } },
+                 item.m_phase);
     // What could have started by now waits for an engine, not for the time.
     if (from > aNow) {
       next = std::min(next, from);
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -57,8 +57,8 @@
     return slow;
   }
   // The lower median, so that two engines can be told apart.
-  const auto middle = paces.begin() +
-                      static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+  const auto middle =
+    paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
   std::ranges::nth_element(paces, middle);
   const double limit = static_cast<double>(middle->count()) * kSlowFactor;
   for (size_t i = 0; i < aEngines.size(); ++i) {
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -81,11 +81,11 @@
     return;
   }
   Locate(aRequest.m_batch, [aDone](const Location& aLocation) {
-    std::visit(core::Overloaded{
-                 [&](const OwnedElsewhere& aOwner) { aDone(aOwner); },
-                 [&](const NoSuchBatch& aNone) { aDone(aNone); },
-                 [&](const CannotTell& aReason) { aDone(aReason); } },
-               aLocation);
+    std::visit(
+      core::Overloaded{ [&](const OwnedElsewhere& aOwner) { aDone(aOwner); },
+                        [&](const NoSuchBatch& aNone) { aDone(aNone); },
+                        [&](const CannotTell& aReason) { aDone(aReason); } },
+      aLocation);
   });
 }
 
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -26,8 +26,8 @@
 void
 Prefer(std::vector<objectstore::HostEntry>& aCandidates, std::string_view aName)
 {
-  const auto found = std::ranges::find(
-    aCandidates, aName, &objectstore::HostEntry::m_name);
+  const auto found =
+    std::ranges::find(aCandidates, aName, &objectstore::HostEntry::m_name);
   if (found != aCandidates.end()) {
     std::rotate(aCandidates.begin(), found, found + 1);
   }
@@ -105,8 +105,7 @@
   for (size_t tries = 0; tries < kMaxTries && !candidates.empty(); ++tries) {
     const objectstore::HostEntry host = candidates.front();
     candidates.erase(candidates.begin());
-    const core::Instant limit =
-      std::min(aDeadline, kernel::Now() + kTryTime);
+    const core::Instant limit = std::min(aDeadline, kernel::Now() + kTryTime);
     absl::StatusOr<http::Answer> answer =
       co_await m_clients->For(aLoopIndex)
         .Call(host.m_endpoint, aRequest, http::Reuse::Allowed, limit);
--- a/src/batches/internal/batchjson.cpp
+++ b/src/batches/internal/batchjson.cpp
@@ -93,19 +93,19 @@
 ToValue(const ItemResult& aResult)
 {
   json::object result{ { "item", aResult.m_item.m_value } };
-  std::visit(core::Overloaded{
-               [&result](const Completed& aCompleted) {
-                 json::array versions;
-                 for (const core::WeightVersion version :
-                      aCompleted.m_versions) {
-                   versions.push_back(version.m_number);
-                 }
-                 result["text"] = aCompleted.m_text;
-                 result["versions"] = std::move(versions);
-                 result["score"] = aCompleted.m_score;
-               },
-               [&result](const Lost&) { result["lost"] = true; } },
-             aResult.m_outcome);
+  std::visit(
+    core::Overloaded{ [&result](const Completed& aCompleted) {
+                       json::array versions;
+                       for (const core::WeightVersion version :
+                            aCompleted.m_versions) {
+                         versions.push_back(version.m_number);
+                       }
+                       result["text"] = aCompleted.m_text;
+                       result["versions"] = std::move(versions);
+                       result["score"] = aCompleted.m_score;
+                     },
+                      [&result](const Lost&) { result["lost"] = true; } },
+    aResult.m_outcome);
   return result;
 }
 
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -27,19 +27,19 @@
        std::string_view aDetail,
        const RunReport& aReport)
 {
-  kernel::LogEvent(kernel::LogLevel::Info,
-                   "batches",
-                   "run-ended",
-                   { { "batch", aTask.m_batchId },
-                     { "item", aTask.m_itemId },
-                     { "engine", aTask.m_ticket->Chosen().m_id.m_value },
-                     { "outcome", aOutcome },
-                     { "detail", aDetail },
-                     { "expected_tokens", aTask.m_expectedTokens },
-                     { "took_ms",
-                       kernel::Milliseconds(kernel::Now() - aTask.m_startedAt) },
-                     { "resumed_after", aTask.m_resumeAfter },
-                     { "last_event", aReport.m_lastEvent } });
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "batches",
+    "run-ended",
+    { { "batch", aTask.m_batchId },
+      { "item", aTask.m_itemId },
+      { "engine", aTask.m_ticket->Chosen().m_id.m_value },
+      { "outcome", aOutcome },
+      { "detail", aDetail },
+      { "expected_tokens", aTask.m_expectedTokens },
+      { "took_ms", kernel::Milliseconds(kernel::Now() - aTask.m_startedAt) },
+      { "resumed_after", aTask.m_resumeAfter },
+      { "last_event", aReport.m_lastEvent } });
 }
 
 RunEnding
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -174,7 +174,8 @@
       alive.push_back(host.m_name);
     }
   }
-  const std::vector<std::string> ranked = core::RankHosts(alive, aBatch.m_value);
+  const std::vector<std::string> ranked =
+    core::RankHosts(alive, aBatch.m_value);
   return !ranked.empty() && ranked.front() == m_context.Self().m_host;
 }
 
@@ -196,12 +197,14 @@
   m_context.Metrics().Get("batches.takeovers").Add();
   Placement taken = aPlacement;
   taken.m_owner = m_context.Self().m_host;
-  Store(std::move(taken), [self = shared_from_this(), aPlacement](
-                            const absl::StatusOr<uint64_t>& aVersion) {
-    if (!aVersion.ok()) {
-      self->Fetch(aPlacement.m_batch, [](const absl::StatusOr<Placement>&) {});
-    }
-  });
+  Store(std::move(taken),
+        [self = shared_from_this(),
+         aPlacement](const absl::StatusOr<uint64_t>& aVersion) {
+          if (!aVersion.ok()) {
+            self->Fetch(aPlacement.m_batch,
+                        [](const absl::StatusOr<Placement>&) {});
+          }
+        });
 }
 
 void
@@ -288,8 +291,7 @@
     const auto placement = m_placements.find(id);
     const bool ended =
       placement != m_placements.end() && placement->second.m_ended;
-    const bool open =
-      !ended && (!owned->m_loaded || !IsComplete(owned->m_run));
+    const bool open = !ended && (!owned->m_loaded || !IsComplete(owned->m_run));
     if (open) {
       return true;
     }
--- a/src/batches/internal/retirement.cpp
+++ b/src/batches/internal/retirement.cpp
@@ -63,11 +63,11 @@
   const core::Duration time =
     std::max(core::Duration::zero(), aWithin - kMargin);
   m_handOverAt = kernel::Now() + time;
-  kernel::LogEvent(kernel::LogLevel::Info,
-                   "batches",
-                   "retirement",
-                   { { "state", kEmptying },
-                     { "within_ms", kernel::Milliseconds(aWithin) } });
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "batches",
+    "retirement",
+    { { "state", kEmptying }, { "within_ms", kernel::Milliseconds(aWithin) } });
   m_context.Get<gossip::Gossip>()->StartLeaving();
   Report(kEmptying);
   Check();
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -161,8 +161,8 @@
   BatchPolicy policy;
   core::Duration giveUp = kDefaultGiveUp;
   const auto document = m_configuration->Read();
-  const configuration::Route* route = configuration::FindRoute(
-    *document, aSubmission.m_host, aSubmission.m_path);
+  const configuration::Route* route =
+    configuration::FindRoute(*document, aSubmission.m_host, aSubmission.m_path);
   if (route != nullptr) {
     policy.m_attempts = route->m_attempts;
     if (const auto* kind =
@@ -252,10 +252,8 @@
 Batches::PoolFor(const BatchRun& aRun) const
 {
   const auto document = m_configuration->Read();
-  const configuration::Route* route =
-    configuration::FindRoute(*document,
-                             aRun.m_submission->m_host,
-                             aRun.m_submission->m_path);
+  const configuration::Route* route = configuration::FindRoute(
+    *document, aRun.m_submission->m_host, aRun.m_submission->m_path);
   if (route == nullptr) {
     return nullptr;
   }
@@ -394,19 +392,17 @@
       return;
     }
     aOwned->m_work.erase(aItem);
-    EndScore(
-      aOwned->m_run, aItem, number, aEnding, attempts, kernel::Now());
+    EndScore(aOwned->m_run, aItem, number, aEnding, attempts, kernel::Now());
     self->Pump();
   };
-  asio::co_spawn(
-    m_context.Traffic().Loop(loop),
-    ScoreAndReport(m_relay,
-                   m_context,
-                   loop,
-                   std::move(call),
-                   aOwned->m_run.m_submission->m_items[aItem].m_id,
-                   std::move(done)),
-    asio::detached);
+  asio::co_spawn(m_context.Traffic().Loop(loop),
+                 ScoreAndReport(m_relay,
+                                m_context,
+                                loop,
+                                std::move(call),
+                                aOwned->m_run.m_submission->m_items[aItem].m_id,
+                                std::move(done)),
+                 asio::detached);
   return true;
 }
 
@@ -483,24 +479,26 @@
 void
 Batches::ReadTakenChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk)
 {
-  m_store->Read(
-    { std::string(kResultsKind),
-      ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
-    objectstore::CallPriority::Lease,
-    [self = shared_from_this(), aOwned, aChunk](
-      const absl::StatusOr<objectstore::StoredObject>& aObject) {
-      if (!self->IsOwned(aOwned)) {
-        return;
-      }
-      absl::StatusOr<ResultChunk> found =
-        aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
-      if (!found.ok()) {
-        self->Later([self, aOwned, aChunk] { self->WriteChunk(aOwned, aChunk); });
-        return;
-      }
-      ChunkTaken(aOwned->m_run, *std::move(found), kernel::Now());
-      self->Pump();
-    });
+  m_store->Read({ std::string(kResultsKind),
+                  ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
+                objectstore::CallPriority::Lease,
+                [self = shared_from_this(), aOwned, aChunk](
+                  const absl::StatusOr<objectstore::StoredObject>& aObject) {
+                  if (!self->IsOwned(aOwned)) {
+                    return;
+                  }
+                  absl::StatusOr<ResultChunk> found =
+                    aObject.ok() ? ParseChunk(aObject->m_value)
+                                 : aObject.status();
+                  if (!found.ok()) {
+                    self->Later([self, aOwned, aChunk] {
+                      self->WriteChunk(aOwned, aChunk);
+                    });
+                    return;
+                  }
+                  ChunkTaken(aOwned->m_run, *std::move(found), kernel::Now());
+                  self->Pump();
+                });
 }
 
 void
@@ -519,9 +517,8 @@
   const core::Instant now = kernel::Now();
   std::vector<Waiter> waiters = std::exchange(aOwned.m_waiters, {});
   for (Waiter& waiter : waiters) {
-    const bool ready =
-      aOwned.m_run.m_listed.size() > waiter.m_after || waiter.m_until <= now ||
-      aOwned.m_run.m_ended;
+    const bool ready = aOwned.m_run.m_listed.size() > waiter.m_after ||
+                       waiter.m_until <= now || aOwned.m_run.m_ended;
     if (!ready) {
       aOwned.m_waiters.push_back(std::move(waiter));
       continue;
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -116,8 +116,8 @@
 };
 
 /// What the requests of a route are, and so what may be repeated.
-using RequestKind = std::
-  variant<SafeRequests, UnsafeRequests, StreamRequests, BatchSubmissions>;
+using RequestKind =
+  std::variant<SafeRequests, UnsafeRequests, StreamRequests, BatchSubmissions>;
 
 /// A service that takes a share of a route's requests.
 struct WeightedService
--- a/src/configuration/internal/active.cpp
+++ b/src/configuration/internal/active.cpp
@@ -36,11 +36,11 @@
   m_identity = offered;
   m_document.Publish(std::move(parsed.m_document));
   m_counters.Get("configuration.accepted").Add();
-  kernel::LogEvent(kernel::LogLevel::Info,
-                   "configuration",
-                   "in-force",
-                   { { "generation", offered.m_generation },
-                     { "digest", offered.m_digest } });
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "configuration",
+    "in-force",
+    { { "generation", offered.m_generation }, { "digest", offered.m_digest } });
   const auto document = Read();
   for (const Listener& listener : m_listeners) {
     listener(*document);
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -149,8 +149,7 @@
       document.m_routes.push_back(element(aValue, aPath, ParseRoute));
     });
   if (const boost::json::value* limits = aReader.Optional("limits")) {
-    document.m_limits =
-      element(*limits, aReader.PathOf("limits"), ParseLimits);
+    document.m_limits = element(*limits, aReader.PathOf("limits"), ParseLimits);
   }
   return document;
 }
--- a/src/configuration/internal/routejson.cpp
+++ b/src/configuration/internal/routejson.cpp
@@ -82,21 +82,22 @@
   boost::json::object object{ { "name", aRoute.m_name },
                               { "host", aRoute.m_host },
                               { "prefix", aRoute.m_prefix } };
-  std::visit(
-    core::Overloaded{
-      [&object](const SafeRequests&) { object["kind"] = "safe"; },
-      [&object](const UnsafeRequests&) { object["kind"] = "unsafe"; },
-      [&object](const StreamRequests& aStream) {
-        object["kind"] = "stream";
-        object["resumable"] = aStream.m_resumable;
-      },
-      [&object](const BatchSubmissions& aBatches) {
-        object["kind"] = "batch";
-        object["give_up_after_ms"] = ToMilliseconds(aBatches.m_giveUpAfter);
-        object["result_target_ms"] = ToMilliseconds(aBatches.m_resultTarget);
-        object["single_version"] = aBatches.m_singleVersion;
-      } },
-    aRoute.m_kind);
+  std::visit(core::Overloaded{
+               [&object](const SafeRequests&) { object["kind"] = "safe"; },
+               [&object](const UnsafeRequests&) { object["kind"] = "unsafe"; },
+               [&object](const StreamRequests& aStream) {
+                 object["kind"] = "stream";
+                 object["resumable"] = aStream.m_resumable;
+               },
+               [&object](const BatchSubmissions& aBatches) {
+                 object["kind"] = "batch";
+                 object["give_up_after_ms"] =
+                   ToMilliseconds(aBatches.m_giveUpAfter);
+                 object["result_target_ms"] =
+                   ToMilliseconds(aBatches.m_resultTarget);
+                 object["single_version"] = aBatches.m_singleVersion;
+               } },
+             aRoute.m_kind);
   object["timeout_ms"] = ToMilliseconds(aRoute.m_timeout);
   object["objective_ms"] = ToMilliseconds(aRoute.m_objective);
   object["attempts"] = aRoute.m_attempts;
--- a/src/discovery/internal/directory.cpp
+++ b/src/discovery/internal/directory.cpp
@@ -36,10 +36,8 @@
 Directory::Addresses(std::string_view aRole, std::string_view aFailureDomain)
 {
   const std::vector<Candidate> candidates = CandidatesOf(aRole);
-  return ChooseAddresses(candidates,
-                         aFailureDomain,
-                         m_ticket.fetch_add(1),
-                         m_settings.m_answers);
+  return ChooseAddresses(
+    candidates, aFailureDomain, m_ticket.fetch_add(1), m_settings.m_answers);
 }
 
 void
--- a/src/forwarding/internal/submissions.cpp
+++ b/src/forwarding/internal/submissions.cpp
@@ -112,17 +112,18 @@
 {
   auto store = aContext.Get<objectstore::ObjectStore>();
   aContext.Control().Post([store, aName] {
-    store->Read(KeyOf(aName),
-                objectstore::CallPriority::Status,
-                [store, aName](absl::StatusOr<objectstore::StoredObject> aFound) {
-                  if (aFound.ok() && aFound->m_value == kBegun) {
-                    store->Write(KeyOf(aName),
-                                 aFound->m_version,
-                                 std::string(kNotRun),
-                                 objectstore::CallPriority::Status,
-                                 [](absl::StatusOr<uint64_t>) {});
-                  }
-                });
+    store->Read(
+      KeyOf(aName),
+      objectstore::CallPriority::Status,
+      [store, aName](absl::StatusOr<objectstore::StoredObject> aFound) {
+        if (aFound.ok() && aFound->m_value == kBegun) {
+          store->Write(KeyOf(aName),
+                       aFound->m_version,
+                       std::string(kNotRun),
+                       objectstore::CallPriority::Status,
+                       [](absl::StatusOr<uint64_t>) {});
+        }
+      });
   });
 }
 
--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -73,7 +73,8 @@
     settings.m_endpoints = { aPlatform.m_loopback.Self() };
     settings.m_callTime = milliseconds(500);
     settings.m_budget = { 1000.0, 1000.0 };
-    context.Provide(std::make_shared<objectstore::ObjectStore>(context, settings));
+    context.Provide(
+      std::make_shared<objectstore::ObjectStore>(context, settings));
     m_router = std::make_shared<routing::Router>("d0");
     context.Provide(m_router);
     configuration::Document document;
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -245,9 +245,8 @@
   }
   // Two hosts of the role watch, its others follow these, all else follows
   // any host of the role: nobody follows in a circle.
-  store->SetRelays(m_settings.m_servesRelay
-                     ? Watchers()
-                     : AliveHosts(m_settings.m_relayRole));
+  store->SetRelays(
+    m_settings.m_servesRelay ? Watchers() : AliveHosts(m_settings.m_relayRole));
 }
 
 void
@@ -332,8 +331,8 @@
 void
 Gossip::Run(const KindHeard& aEffect)
 {
-  m_context.Get<objectstore::ObjectStore>()->Refresh(
-    aEffect.m_news.m_kind, aEffect.m_news.m_revision);
+  m_context.Get<objectstore::ObjectStore>()->Refresh(aEffect.m_news.m_kind,
+                                                     aEffect.m_news.m_revision);
 }
 
 void
--- a/src/gossip/members.h
+++ b/src/gossip/members.h
@@ -123,8 +123,8 @@
   bool m_leaving = false;
 };
 
-using GossipEffect =
-  std::variant<SendDigest, FetchDocument, VersionHeard, KindHeard, LeavingHeard>;
+using GossipEffect = std::
+  variant<SendDigest, FetchDocument, VersionHeard, KindHeard, LeavingHeard>;
 
 void
 Apply(GossipState& aState,
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -65,8 +65,8 @@
   using asio::detail::socket_option::integer;
   boost::system::error_code ignored;
   aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
-  aSocket.set_option(
-    integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds),
+                     ignored);
   aSocket.set_option(
     integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalSeconds), ignored);
   aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -119,10 +119,8 @@
         return;
       }
       char byte = 0;
-      const ssize_t got = ::recv(m_stream.socket().native_handle(),
-                                 &byte,
-                                 1,
-                                 MSG_PEEK | MSG_DONTWAIT);
+      const ssize_t got = ::recv(
+        m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
       // Bytes of a next request may wait; only an end tells that it left.
       const bool open = got > 0 || (got < 0 && errno == EAGAIN);
       if (!open) {
@@ -221,11 +219,11 @@
   }
   if (!thrown.empty()) {
     m_server->Kernel().Metrics().Get("http.handler_threw").Add();
-    kernel::LogEvent(kernel::LogLevel::Error,
-                     "http",
-                     "handler-threw",
-                     { { "path", PathOf(aExchange.Asked().m_target) },
-                       { "reason", thrown } });
+    kernel::LogEvent(
+      kernel::LogLevel::Error,
+      "http",
+      "handler-threw",
+      { { "path", PathOf(aExchange.Asked().m_target) }, { "reason", thrown } });
   }
   if (!aExchange.HasBegun()) {
     const core::Failure failure =
--- a/src/kernel/internal/counters.cpp
+++ b/src/kernel/internal/counters.cpp
@@ -35,8 +35,8 @@
     const bool last = i + 1 == LatencyHistogram::kBuckets;
     const std::string bound =
       last ? "+Inf" : SecondsText(LatencyHistogram::BoundOf(i));
-    text += name + "_bucket{le=\"" + bound + "\"} " + std::to_string(count) +
-            "\n";
+    text +=
+      name + "_bucket{le=\"" + bound + "\"} " + std::to_string(count) + "\n";
   }
   text += name + "_sum " + SecondsText(aHistogram.Sum()) + "\n";
   text += name + "_count " + std::to_string(count) + "\n";
--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -197,11 +197,11 @@
   if (document) {
     ParseSections(*document, aPlugins, errors);
   }
-  LogEvent(LogLevel::Info,
-           "kernel",
-           "reloaded",
-           { { "program", aProgram.m_name },
-             { "valid", errors.m_errors.empty() } });
+  LogEvent(
+    LogLevel::Info,
+    "kernel",
+    "reloaded",
+    { { "program", aProgram.m_name }, { "valid", errors.m_errors.empty() } });
 }
 
 void
--- a/src/lease/internal/leaseclient.cpp
+++ b/src/lease/internal/leaseclient.cpp
@@ -89,11 +89,10 @@
 void
 LeaseClient::Run(const LeaseGranted& aEffect)
 {
-  kernel::LogEvent(
-    kernel::LogLevel::Info,
-    "lease",
-    "granted",
-    { { "lease", m_key.m_name }, { "epoch", aEffect.m_epoch } });
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "lease",
+                   "granted",
+                   { { "lease", m_key.m_name }, { "epoch", aEffect.m_epoch } });
   m_callbacks.m_granted(aEffect.m_epoch);
 }
 
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -348,8 +348,8 @@
   uint64_t changedAt = 0;
   for (const auto& [name, object] : m_objects) {
     const auto before = aBefore.find(name);
-    const bool changed = before == aBefore.end() ||
-                         before->second.m_version != object.m_version;
+    const bool changed =
+      before == aBefore.end() || before->second.m_version != object.m_version;
     if (changed) {
       changedAt = std::max(changedAt, object.m_version);
     }
@@ -366,10 +366,9 @@
                    "objectstore",
                    "changes-missed",
                    { { "kind", m_task.m_kind }, { "revision", changedAt } });
-  m_context.Control().Post(
-    [missed = m_task.m_missed, kind = m_task.m_kind, changedAt] {
-      missed(kind, changedAt);
-    });
+  m_context.Control().Post([missed = m_task.m_missed,
+                            kind = m_task.m_kind,
+                            changedAt] { missed(kind, changedAt); });
 }
 
 void
@@ -385,12 +384,11 @@
                        { "reason", http::DescribeStatus(aStatus) } });
   }
   if (aStatus.ok() && m_lostAt) {
-    kernel::LogEvent(
-      kernel::LogLevel::Info,
-      "objectstore",
-      "dependency-regained",
-      { { "kind", m_task.m_kind },
-        { "lost_ms", kernel::Milliseconds(now - *m_lostAt) } });
+    kernel::LogEvent(kernel::LogLevel::Info,
+                     "objectstore",
+                     "dependency-regained",
+                     { { "kind", m_task.m_kind },
+                       { "lost_ms", kernel::Milliseconds(now - *m_lostAt) } });
     m_lostAt.reset();
   }
   m_context.Metrics()
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -117,8 +117,8 @@
   if (unknown) {
     aContext.Metrics().Get("objectstore.write_reply_lost").Add();
     const absl::Status failure = version.status();
-    version = co_await ReadBack(
-      exchange, aWrite, failure, kernel::Now() + aCallTime);
+    version =
+      co_await ReadBack(exchange, aWrite, failure, kernel::Now() + aCallTime);
   }
   CallBack(aContext, std::move(aDone), std::move(version));
 }
@@ -235,12 +235,15 @@
                         core::Duration aLapseGrace,
                         WatchCallback aChanged)
 {
-  WatchTask task{ std::move(aKind),       m_settings.m_endpoints,
-                  m_settings.m_backoff,   m_settings.m_callTime,
-                  m_settings.m_watchTime, aLapseGrace,
-                  std::move(aChanged),    [self = shared_from_this()](
-                                         std::string_view aMissedKind,
-                                         uint64_t aRevision) {
+  WatchTask task{ std::move(aKind),
+                  m_settings.m_endpoints,
+                  m_settings.m_backoff,
+                  m_settings.m_callTime,
+                  m_settings.m_watchTime,
+                  aLapseGrace,
+                  std::move(aChanged),
+                  [self = shared_from_this()](std::string_view aMissedKind,
+                                              uint64_t aRevision) {
                     self->AnnounceMissed(aMissedKind, aRevision);
                   } };
   const std::string name = task.m_kind;
@@ -302,8 +305,7 @@
 ObjectStore::ServeRelay(http::Exchange& aExchange)
 {
   const std::string& target = aExchange.Asked().m_target;
-  const std::string_view kind =
-    http::PathOf(target).substr(kRelayPath.size());
+  const std::string_view kind = http::PathOf(target).substr(kRelayPath.size());
   const uint64_t after = http::QueryNumber(target, "after").value_or(0);
   const uint64_t wait = http::QueryNumber(target, "wait_ms").value_or(0);
   const auto watch = FindWatch(kind);
--- a/src/objectstore/internal/storepath.cpp
+++ b/src/objectstore/internal/storepath.cpp
@@ -69,9 +69,7 @@
   const core::Instant sentAt = kernel::Now();
   absl::StatusOr<http::Answer> answer = co_await m_client.Call(
     peer, std::move(request), http::Reuse::Allowed, aDeadline);
-  m_context.Metrics()
-    .Latency("objectstore.call")
-    .Add(kernel::Now() - sentAt);
+  m_context.Metrics().Latency("objectstore.call").Add(kernel::Now() - sentAt);
   const std::string outcome =
     answer.ok() ? std::to_string(answer->m_head.m_status) : "unanswered";
   m_context.Metrics().Get("objectstore.answer_" + outcome).Add();
@@ -87,8 +85,7 @@
   const size_t tries = std::min(kPeersTried, peers->size());
   for (size_t i = 0; i < tries; ++i) {
     const core::Endpoint peer = (*peers)[m_nextPeer++ % peers->size()];
-    const core::Instant limit =
-      std::min(aDeadline, kernel::Now() + kRelayTime);
+    const core::Instant limit = std::min(aDeadline, kernel::Now() + kRelayTime);
     http::Request request = ToRelay(aRequest);
     answer = co_await m_client.Call(
       peer, std::move(request), http::Reuse::Allowed, limit);
@@ -126,14 +123,14 @@
       co_return straight;
     }
     m_straightRestsUntil = kernel::Now() + kStraightRest;
-    kernel::LogEvent(kernel::LogLevel::Info,
-                     "objectstore",
-                     "store-turns-away",
-                     { { "method", aRequest.m_method },
-                       { "reason",
-                         straight.ok()
-                           ? std::to_string(straight->m_head.m_status)
-                           : http::DescribeStatus(straight.status()) } });
+    kernel::LogEvent(
+      kernel::LogLevel::Info,
+      "objectstore",
+      "store-turns-away",
+      { { "method", aRequest.m_method },
+        { "reason",
+          straight.ok() ? std::to_string(straight->m_head.m_status)
+                        : http::DescribeStatus(straight.status()) } });
   }
   if (peers->empty() || kernel::Now() < m_peersRestUntil) {
     co_return straight;
--- a/src/objectstore/objectstoremodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -29,10 +29,9 @@
   }
   const std::string text(aValue.get_string());
   const size_t colon = text.rfind(':');
-  const long port =
-    colon == std::string::npos
-      ? 0
-      : std::strtol(text.c_str() + colon + 1, nullptr, 10);
+  const long port = colon == std::string::npos
+                      ? 0
+                      : std::strtol(text.c_str() + colon + 1, nullptr, 10);
   if (port < 1 || port > kMaxPort) {
     aReader.Errors().m_errors.push_back(
       { std::string(aPath), text, "ADDRESS:PORT" });
--- a/src/operatortool/explain.cpp
+++ b/src/operatortool/explain.cpp
@@ -131,9 +131,9 @@
   }
   for (const auto& field : aEvent) {
     const std::string_view name(field.key().data(), field.key().size());
-    const bool isHead = std::ranges::find(kHeadFields, name) !=
-                          std::ranges::end(kHeadFields) ||
-                        name == "level";
+    const bool isHead =
+      std::ranges::find(kHeadFields, name) != std::ranges::end(kHeadFields) ||
+      name == "level";
     const std::string text = TextOf(aEvent, name);
     if (!isHead && !text.empty()) {
       line += " " + std::string(name) + "=" + text;
--- a/src/registration/internal/registrar.cpp
+++ b/src/registration/internal/registrar.cpp
@@ -50,8 +50,8 @@
   m_context.Get<objectstore::ObjectStore>()->Read(
     key,
     objectstore::CallPriority::Configuration,
-    [self = shared_from_this()](
-      absl::StatusOr<objectstore::StoredObject> aObject) {
+    [self =
+       shared_from_this()](absl::StatusOr<objectstore::StoredObject> aObject) {
       if (!aObject.ok()) {
         self->TryLater();
         return;
@@ -74,14 +74,14 @@
     Entry(),
     objectstore::CallPriority::Configuration,
     [self = shared_from_this()](absl::StatusOr<uint64_t> aVersion) {
-      kernel::LogEvent(kernel::LogLevel::Info,
-                       "registration",
-                       aVersion.ok() ? "registered" : "registration-failed",
-                       { { "service", self->m_settings.m_service },
-                         { "outcome",
-                           aVersion.ok()
-                             ? std::to_string(*aVersion)
-                             : http::DescribeStatus(aVersion.status()) } });
+      kernel::LogEvent(
+        kernel::LogLevel::Info,
+        "registration",
+        aVersion.ok() ? "registered" : "registration-failed",
+        { { "service", self->m_settings.m_service },
+          { "outcome",
+            aVersion.ok() ? std::to_string(*aVersion)
+                          : http::DescribeStatus(aVersion.status()) } });
       if (!aVersion.ok()) {
         self->TryLater();
       }
--- a/src/relay/decisions/attemptlimit.cpp
+++ b/src/relay/decisions/attemptlimit.cpp
@@ -38,8 +38,7 @@
   if (isLast || !IsIdempotent(aRoute.m_kind)) {
     return aDeadline;
   }
-  return std::min(aDeadline,
-                  aNow + aRoute.m_objective * kObjectivesPerAttempt);
+  return std::min(aDeadline, aNow + aRoute.m_objective * kObjectivesPerAttempt);
 }
 
 core::Instant
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -124,7 +124,8 @@
                               : http::Reuse::Never;
   auto opened =
     co_await m_clients->For(aLoopIndex)
-      .Open(ticket->Chosen().m_endpoint, request, reuse, deadline, aCall.m_abort);
+      .Open(
+        ticket->Chosen().m_endpoint, request, reuse, deadline, aCall.m_abort);
   if (!opened.ok()) {
     ticket->Failed(kernel::Now());
     co_return opened.status();
@@ -164,8 +165,7 @@
 {
   Progress progress;
   const core::Instant arrived = kernel::Now();
-  progress.m_offerUntil =
-    OfferUntil(aCall.m_route, arrived, aCall.m_deadline);
+  progress.m_offerUntil = OfferUntil(aCall.m_route, arrived, aCall.m_deadline);
   {
     const std::scoped_lock lock(m_mutex);
     forwarding::NoteCall(m_budget, kRetryBudget);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -51,10 +51,8 @@
 private:
   struct Progress;
 
-  boost::asio::awaitable<absl::StatusOr<RoutedAnswer>> Attempt(
-    size_t aLoopIndex,
-    const RoutedCall& aCall,
-    Progress& aProgress);
+  boost::asio::awaitable<absl::StatusOr<RoutedAnswer>>
+  Attempt(size_t aLoopIndex, const RoutedCall& aCall, Progress& aProgress);
   boost::asio::awaitable<absl::StatusOr<RoutedAnswer>> ReadAnswer(
     http::AnswerStream& aStream,
     const RoutedCall& aCall,
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -80,8 +80,7 @@
   UpstreamMeter& meter = *Chosen().m_meter;
   const int64_t gap = std::min(aGap, kLongestGap).count();
   const int64_t before = meter.m_pace.load();
-  const int64_t pace =
-    before == 0 ? gap : before + (gap - before) / kWeight;
+  const int64_t pace = before == 0 ? gap : before + (gap - before) / kWeight;
   meter.m_pace.store(std::max<int64_t>(1, pace));
   meter.m_paceAt.store(aNow.time_since_epoch().count());
 }
--- a/src/standin/caller/callermodule.cpp
+++ b/src/standin/caller/callermodule.cpp
@@ -8,8 +8,8 @@
 #include "boost/json/serialize.hpp"
 
 #include "http/httpmodule.h"
-#include "kernel/json.h"
 #include "kernel/eventlog.h"
+#include "kernel/json.h"
 #include "kernel/plugin.h"
 #include "standin/endpoints.h"
 #include "standin/engine/generation.h"
--- a/src/weights/internal/serviceweights.cpp
+++ b/src/weights/internal/serviceweights.cpp
@@ -31,8 +31,7 @@
 asio::awaitable<absl::StatusOr<EngineReport>>
 AskReport(http::Client& aClient, const OrderTask& aTask)
 {
-  http::Request request =
-    CodecInUse().m_encodeReport(aTask.m_order.m_engine);
+  http::Request request = CodecInUse().m_encodeReport(aTask.m_order.m_engine);
   const absl::StatusOr<http::Answer> answer =
     co_await aClient.Call(aTask.m_peer,
                           std::move(request),
@@ -116,10 +115,9 @@
     const absl::StatusOr<EngineReport> report =
       co_await AskReport(client, aTask);
     if (!report.ok() || report->m_busy) {
-      const core::Failure failure =
-        core::PeerRefused{ aTask.m_order.m_engine.m_value,
-                           0,
-                           core::Executed::No };
+      const core::Failure failure = core::PeerRefused{
+        aTask.m_order.m_engine.m_value, 0, core::Executed::No
+      };
       Report(aContext, aOwner, aTask, failure);
       co_return;
     }
@@ -192,8 +190,7 @@
   m_policy.m_floorPercent = engines->m_floorPercent;
   // The sets of weights share what may be loaded at once.
   const auto sets = static_cast<uint32_t>(names.size());
-  m_policy.m_concurrentLoads =
-    (engines->m_concurrentLoads + sets - 1) / sets;
+  m_policy.m_concurrentLoads = (engines->m_concurrentLoads + sets - 1) / sets;
   for (const std::string& name : names) {
     m_waves[name].m_policy = m_policy;
   }
--- a/src/weights/ordercodec.h
+++ b/src/weights/ordercodec.h
@@ -55,9 +55,9 @@
                                const http::Answer& aAnswer) = nullptr;
   /// Null: engines report by themselves.
   http::Request (*m_encodeReport)(const core::UpstreamId& aEngine) = nullptr;
-  absl::StatusOr<EngineReport> (*m_decodeReport)(
-    std::string_view aWeights,
-    const http::Answer& aAnswer) = nullptr;
+  absl::StatusOr<EngineReport> (*m_decodeReport)(std::string_view aWeights,
+                                                 const http::Answer& aAnswer) =
+    nullptr;
 };
 
 /// Registers another encoding than the own one before main.
--- a/src/weights/weightsmodule.cpp
+++ b/src/weights/weightsmodule.cpp
@@ -79,7 +79,8 @@
 }
 
 void
-SetTargets(Weights& aWeights, std::span<const objectstore::StoredObject> aObjects)
+SetTargets(Weights& aWeights,
+           std::span<const objectstore::StoredObject> aObjects)
 {
   for (const objectstore::StoredObject& object : aObjects) {
     const absl::StatusOr<core::WeightVersion> version =
