--- a/src/batches/batchgateway.h
+++ b/src/batches/batchgateway.h
@@ -38,7 +38,6 @@
     const BatchId& aBatch) const;
   void Remember(const BatchId& aBatch, std::string_view aOwner);
 
-  kernel::Context& m_context;
   std::shared_ptr<objectstore::Hosts> m_hosts;
   std::shared_ptr<gossip::Gossip> m_gossip;
   std::shared_ptr<http::Clients> m_clients;
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -142,6 +142,9 @@
 Batches::Location
 Batches::LocationOf(const Placement& aPlacement)
 {
+  if (aPlacement.m_owner == m_context.Self().m_host) {
+    return CannotTell{ "the batch is being loaded" };
+  }
   if (!IsOrphan(aPlacement)) {
     return OwnedElsewhere{ aPlacement.m_owner };
   }
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -46,8 +46,7 @@
 }
 
 BatchGateway::BatchGateway(kernel::Context& aContext)
-  : m_context(aContext)
-  , m_hosts(aContext.Get<objectstore::Hosts>())
+  : m_hosts(aContext.Get<objectstore::Hosts>())
   , m_gossip(aContext.Get<gossip::Gossip>())
   , m_clients(aContext.Get<http::Clients>())
 {
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -49,7 +49,7 @@
      uint64_t aLast,
      uint64_t aVersion = 5)
 {
-  return { std::move(aEnding), std::move(aText), aLast, { { aVersion } } };
+  return { aEnding, std::move(aText), aLast, { { aVersion } } };
 }
 
 /// Runs the next item to that ending and returns its index.
