--- a/src/lease/decisions/lease.cpp
+++ b/src/lease/decisions/lease.cpp
@@ -95,7 +95,9 @@
     aRole.m_record && aRole.m_record->m_version == aRecord.m_version;
   const bool older =
     aRole.m_record && aRole.m_record->m_version > aRecord.m_version;
-  const bool free = aRecord.m_version == 0 || aRecord.m_released ||
+  // An earlier life of this host: it is over, nobody else may act.
+  const bool own = aRecord.m_holder == aState.m_self;
+  const bool free = aRecord.m_version == 0 || aRecord.m_released || own ||
                     (unchanged && aRole.m_freeAt <= aNow);
   if (older) {
     aState.m_nextStep = aNow + aState.m_policy.m_retryAfter;
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -52,8 +52,7 @@
 };
 
 Relay::Relay(kernel::Context& aContext)
-  : m_context(aContext)
-  , m_router(aContext.Get<routing::Router>())
+  : m_router(aContext.Get<routing::Router>())
   , m_clients(aContext.Get<http::Clients>())
 {
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -62,7 +62,6 @@
                               Progress& aProgress,
                               const core::Failure& aFailure);
 
-  kernel::Context& m_context;
   std::shared_ptr<routing::Router> m_router;
   std::shared_ptr<http::Clients> m_clients;
   std::atomic<uint64_t> m_tickets{ 0 };
