--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -154,7 +154,7 @@
   bool IsOrphan(const Placement& aPlacement) const;
   bool IsNextOwner(const BatchId& aBatch) const;
   void Expire();
-  void Drop(const std::string& aBatch);
+  void Drop(std::string_view aBatch);
   void Locate(const BatchId& aBatch,
               std::function<void(const Location&)> aDone);
   Location LocationOf(const Placement& aPlacement);
@@ -176,7 +176,8 @@
                       core::Instant aDeadline);
   void Adopt(std::shared_ptr<const Submission> aSubmission, uint64_t aVersion);
 
-  // Running, in internal/running.cpp.
+  // Running, in internal/running.cpp; scoring, in internal/scoring.cpp;
+  // storing and answering, in internal/listing.cpp.
   void Pump();
   void Serve(const OwnedPtr& aOwned);
   void StartItems();
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -94,7 +94,7 @@
 }
 
 void
-Batches::Drop(const std::string& aBatch)
+Batches::Drop(std::string_view aBatch)
 {
   const auto found = m_owned.find(aBatch);
   if (found == m_owned.end()) {
@@ -239,7 +239,7 @@
     }
   }
   for (const OwnedPtr& owned : expired) {
-    const std::string& id = owned->m_id.m_value;
+    const std::string id = owned->m_id.m_value;
     if (!owned->m_loaded) {
       // The chunks have to be known to be removed.
       EnsureLoading(owned);
@@ -254,7 +254,7 @@
       kernel::LogLevel::Info, "batches", "batch-expired", { { "batch", id } });
     m_placements.erase(id);
     m_takeoversRestUntil.erase(id);
-    Drop(std::string(id));
+    Drop(id);
   }
 }
 
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -5,9 +5,7 @@
 #include "boost/asio/post.hpp"
 
 #include "batches/engines.h"
-#include "batches/internal/batchjson.h"
 #include "batches/internal/itemrun.h"
-#include "batches/internal/objectnames.h"
 #include "core/overloaded.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
@@ -18,9 +16,6 @@
 
 namespace asio = boost::asio;
 
-constexpr uint32_t kFirstSuccess = 200;
-constexpr uint32_t kFirstRedirection = 300;
-constexpr size_t kMaxScoresAtOnce = 32;
 constexpr core::Duration kDefaultGiveUp = std::chrono::seconds(40);
 
 // An engine that has refused is tried by one item in this time.
@@ -30,25 +25,6 @@
 constexpr core::Duration kPaceLifetime = std::chrono::seconds(2);
 // Engines that were left alone may take items again.
 constexpr core::Duration kEngineRetry = std::chrono::milliseconds(50);
-constexpr size_t kMaxPageBytes = 256 * 1024;
-
-/// The listed results from a position on, as many as fit into a page.
-ResultPage
-PageOf(const BatchRun& aRun, size_t aAfter)
-{
-  ResultPage page;
-  page.m_total = aRun.m_items.size();
-  size_t bytes = 0;
-  for (size_t i = aAfter; i < aRun.m_listed.size(); ++i) {
-    const auto* completed = std::get_if<Completed>(&aRun.m_listed[i].m_outcome);
-    bytes += completed == nullptr ? 0 : completed->m_text.size();
-    if (i > aAfter && bytes > kMaxPageBytes) {
-      break;
-    }
-    page.m_results.push_back(aRun.m_listed[i]);
-  }
-  return page;
-}
 
 /// The engines of a pool as they look now.
 std::vector<EngineFacts>
@@ -107,45 +83,6 @@
   aContext.Control().Post([aDone, report] { aDone(std::move(*report)); });
 }
 
-ScoreEnding
-EndingOf(const absl::StatusOr<relay::RoutedAnswer>& aAnswer)
-{
-  if (!aAnswer.ok()) {
-    return ScoreUnavailable{};
-  }
-  const uint32_t status = aAnswer->m_answer.m_head.m_status;
-  if (status >= kFirstSuccess && status < kFirstRedirection) {
-    return Scored{ aAnswer->m_proof };
-  }
-  return ScoreFailed{};
-}
-
-asio::awaitable<void>
-ScoreAndReport(std::shared_ptr<relay::Relay> aRelay,
-               kernel::Context& aContext,
-               size_t aLoop,
-               relay::RoutedCall aCall,
-               ItemId aItem,
-               std::function<void(ScoreEnding)> aDone)
-{
-  const std::string id = aCall.m_id;
-  const absl::StatusOr<relay::RoutedAnswer> answer =
-    co_await aRelay->Run(aLoop, std::move(aCall));
-  const ScoreEnding ending = EndingOf(answer);
-  if (!std::holds_alternative<Scored>(ending)) {
-    kernel::LogEvent(
-      kernel::LogLevel::Info,
-      "batches",
-      "score-failed",
-      { { "request", id },
-        { "item", aItem.m_value },
-        { "reason",
-          answer.ok() ? std::to_string(answer->m_answer.m_head.m_status)
-                      : http::DescribeStatus(answer.status()) } });
-  }
-  aContext.Control().Post([aDone, ending] { aDone(ending); });
-}
-
 } // namespace
 
 bool
@@ -350,157 +287,6 @@
   return true;
 }
 
-void
-Batches::StartScores(const OwnedPtr& aOwned)
-{
-  for (size_t i = 0; i < kMaxScoresAtOnce; ++i) {
-    const std::optional<size_t> item =
-      NextToScore(aOwned->m_run, kernel::Now());
-    if (!item || !StartScoring(aOwned, *item)) {
-      return;
-    }
-  }
-}
-
-bool
-Batches::StartScoring(const OwnedPtr& aOwned, size_t aItem)
-{
-  const RewardCall& reward =
-    *aOwned->m_run.m_submission->m_items[aItem].m_reward;
-  const auto document = m_configuration->Read();
-  const configuration::Route* route =
-    configuration::FindRoute(*document, reward.m_host, reward.m_path);
-  if (route == nullptr) {
-    return false;
-  }
-  relay::RoutedCall call;
-  call.m_route = *route;
-  call.m_id = reward.m_id;
-  call.m_request.m_method = "POST";
-  call.m_request.m_target = reward.m_path;
-  call.m_request.m_headers.push_back({ "Host", reward.m_host });
-  call.m_request.m_body = reward.m_body;
-  call.m_deadline = kernel::Now() + route->m_timeout;
-  call.m_abort = std::make_shared<http::CallAbort>();
-  const size_t loop = m_context.Traffic().NextIndex();
-  aOwned->m_work[aItem] = { loop, call.m_abort };
-  const uint64_t number = StartScore(aOwned->m_run, aItem);
-  const uint32_t attempts = route->m_attempts;
-  auto done = [self = shared_from_this(), aOwned, aItem, number, attempts](
-                const ScoreEnding& aEnding) {
-    if (!self->IsOwned(aOwned)) {
-      return;
-    }
-    aOwned->m_work.erase(aItem);
-    EndScore(aOwned->m_run, aItem, number, aEnding, attempts, kernel::Now());
-    self->Pump();
-  };
-  asio::co_spawn(m_context.Traffic().Loop(loop),
-                 ScoreAndReport(m_relay,
-                                m_context,
-                                loop,
-                                std::move(call),
-                                aOwned->m_run.m_submission->m_items[aItem].m_id,
-                                std::move(done)),
-                 asio::detached);
-  return true;
-}
-
-void
-Batches::LogLost(const OwnedPtr& aOwned, const ResultChunk& aChunk) const
-{
-  for (const ItemResult& result : aChunk.m_results) {
-    if (!std::holds_alternative<Lost>(result.m_outcome)) {
-      continue;
-    }
-    const BatchRun& run = aOwned->m_run;
-    const ItemState& item =
-      run.m_items[run.m_indexes.at(result.m_item.m_value)];
-    kernel::LogEvent(kernel::LogLevel::Info,
-                     "batches",
-                     "item-lost",
-                     { { "batch", aOwned->m_id.m_value },
-                       { "item", result.m_item.m_value },
-                       { "failed_runs", item.m_failedRuns },
-                       { "failed_scores", item.m_failedScores },
-                       { "last_engine", item.m_lastEngine.m_value },
-                       { "last_event", item.m_events } });
-  }
-}
-
-void
-Batches::StoreResults(const OwnedPtr& aOwned)
-{
-  const std::optional<ResultChunk> chunk =
-    NextChunk(aOwned->m_run, kernel::Now());
-  if (chunk) {
-    LogLost(aOwned, *chunk);
-    WriteChunk(aOwned, *chunk);
-  }
-}
-
-void
-Batches::WriteChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk)
-{
-  if (!IsOwned(aOwned)) {
-    return;
-  }
-  m_store->Write(
-    { std::string(kResultsKind),
-      ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
-    0,
-    ToJson(aChunk),
-    objectstore::CallPriority::Lease,
-    [self = shared_from_this(), aOwned, aChunk](
-      const absl::StatusOr<uint64_t>& aVersion) {
-      if (!self->IsOwned(aOwned)) {
-        return;
-      }
-      if (aVersion.ok()) {
-        kernel::LogEvent(kernel::LogLevel::Info,
-                         "batches",
-                         "results-stored",
-                         { { "batch", aOwned->m_id.m_value },
-                           { "chunk", aChunk.m_number },
-                           { "results", aChunk.m_results.size() } });
-        ChunkStored(aOwned->m_run);
-        self->Pump();
-        return;
-      }
-      if (absl::IsAborted(aVersion.status())) {
-        self->ReadTakenChunk(aOwned, aChunk);
-        return;
-      }
-      self->m_context.Metrics().Get("batches.chunk_write_failed").Add();
-      self->Later([self, aOwned, aChunk] { self->WriteChunk(aOwned, aChunk); });
-    });
-}
-
-void
-Batches::ReadTakenChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk)
-{
-  m_store->Read({ std::string(kResultsKind),
-                  ChunkName(aOwned->m_id.m_value, aChunk.m_number) },
-                objectstore::CallPriority::Lease,
-                [self = shared_from_this(), aOwned, aChunk](
-                  const absl::StatusOr<objectstore::StoredObject>& aObject) {
-                  if (!self->IsOwned(aOwned)) {
-                    return;
-                  }
-                  absl::StatusOr<ResultChunk> found =
-                    aObject.ok() ? ParseChunk(aObject->m_value)
-                                 : aObject.status();
-                  if (!found.ok()) {
-                    self->Later([self, aOwned, aChunk] {
-                      self->WriteChunk(aOwned, aChunk);
-                    });
-                    return;
-                  }
-                  ChunkTaken(aOwned->m_run, *std::move(found), kernel::Now());
-                  self->Pump();
-                });
-}
-
 void
 Batches::AbortWork(OwnedBatch& aOwned)
 {
@@ -511,20 +297,4 @@
   aOwned.m_work.clear();
 }
 
-void
-Batches::AnswerWaiters(OwnedBatch& aOwned)
-{
-  const core::Instant now = kernel::Now();
-  std::vector<Waiter> waiters = std::exchange(aOwned.m_waiters, {});
-  for (Waiter& waiter : waiters) {
-    const bool ready = aOwned.m_run.m_listed.size() > waiter.m_after ||
-                       waiter.m_until <= now || aOwned.m_run.m_ended;
-    if (!ready) {
-      aOwned.m_waiters.push_back(std::move(waiter));
-      continue;
-    }
-    waiter.m_done(PageOf(aOwned.m_run, waiter.m_after));
-  }
-}
-
 } // namespace heatherdeal::batches
--- /dev/null
+++ b/src/batches/internal/scoring.cpp
@@ -0,0 +1,116 @@
+#include "batches/batches.h"
+
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint32_t kFirstSuccess = 200;
+constexpr uint32_t kFirstRedirection = 300;
+constexpr size_t kMaxScoresAtOnce = 32;
+
+ScoreEnding
+EndingOf(const absl::StatusOr<relay::RoutedAnswer>& aAnswer)
+{
+  if (!aAnswer.ok()) {
+    return ScoreUnavailable{};
+  }
+  const uint32_t status = aAnswer->m_answer.m_head.m_status;
+  if (status >= kFirstSuccess && status < kFirstRedirection) {
+    return Scored{ aAnswer->m_proof };
+  }
+  return ScoreFailed{};
+}
+
+asio::awaitable<void>
+ScoreAndReport(std::shared_ptr<relay::Relay> aRelay,
+               kernel::Context& aContext,
+               size_t aLoop,
+               relay::RoutedCall aCall,
+               ItemId aItem,
+               std::function<void(ScoreEnding)> aDone)
+{
+  const std::string id = aCall.m_id;
+  const absl::StatusOr<relay::RoutedAnswer> answer =
+    co_await aRelay->Run(aLoop, std::move(aCall));
+  const ScoreEnding ending = EndingOf(answer);
+  if (!std::holds_alternative<Scored>(ending)) {
+    kernel::LogEvent(
+      kernel::LogLevel::Info,
+      "batches",
+      "score-failed",
+      { { "request", id },
+        { "item", aItem.m_value },
+        { "reason",
+          answer.ok() ? std::to_string(answer->m_answer.m_head.m_status)
+                      : http::DescribeStatus(answer.status()) } });
+  }
+  aContext.Control().Post([aDone, ending] { aDone(ending); });
+}
+
+} // namespace
+
+void
+Batches::StartScores(const OwnedPtr& aOwned)
+{
+  for (size_t i = 0; i < kMaxScoresAtOnce; ++i) {
+    const std::optional<size_t> item =
+      NextToScore(aOwned->m_run, kernel::Now());
+    if (!item || !StartScoring(aOwned, *item)) {
+      return;
+    }
+  }
+}
+
+bool
+Batches::StartScoring(const OwnedPtr& aOwned, size_t aItem)
+{
+  const RewardCall& reward =
+    *aOwned->m_run.m_submission->m_items[aItem].m_reward;
+  const auto document = m_configuration->Read();
+  const configuration::Route* route =
+    configuration::FindRoute(*document, reward.m_host, reward.m_path);
+  if (route == nullptr) {
+    return false;
+  }
+  relay::RoutedCall call;
+  call.m_route = *route;
+  call.m_id = reward.m_id;
+  call.m_request.m_method = "POST";
+  call.m_request.m_target = reward.m_path;
+  call.m_request.m_headers.push_back({ "Host", reward.m_host });
+  call.m_request.m_body = reward.m_body;
+  call.m_deadline = kernel::Now() + route->m_timeout;
+  call.m_abort = std::make_shared<http::CallAbort>();
+  const size_t loop = m_context.Traffic().NextIndex();
+  aOwned->m_work[aItem] = { loop, call.m_abort };
+  const uint64_t number = StartScore(aOwned->m_run, aItem);
+  const uint32_t attempts = route->m_attempts;
+  auto done = [self = shared_from_this(), aOwned, aItem, number, attempts](
+                const ScoreEnding& aEnding) {
+    if (!self->IsOwned(aOwned)) {
+      return;
+    }
+    aOwned->m_work.erase(aItem);
+    EndScore(aOwned->m_run, aItem, number, aEnding, attempts, kernel::Now());
+    self->Pump();
+  };
+  asio::co_spawn(m_context.Traffic().Loop(loop),
+                 ScoreAndReport(m_relay,
+                                m_context,
+                                loop,
+                                std::move(call),
+                                aOwned->m_run.m_submission->m_items[aItem].m_id,
+                                std::move(done)),
+                 asio::detached);
+  return true;
+}
+
+} // namespace heatherdeal::batches
--- a/src/configuration/configurationmodule.cpp
+++ b/src/configuration/configurationmodule.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-struct NoSettings
-{};
-
-std::any
-ParseSettings(kernel::SettingsReader&)
-{
-  return NoSettings{};
-}
-
 boost::asio::awaitable<void>
 AnswerDocument(std::shared_ptr<Active> aActive, http::Exchange& aExchange)
 {
@@ -63,7 +54,7 @@
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
   .m_needs = kNeeds,
-  .m_parseSettings = ParseSettings,
+  .m_parseSettings = kernel::ParseNoSettings,
   .m_start = Start,
   .m_drain = nullptr,
   .m_dump = Dump,
--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -14,18 +14,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-http::ServerSettings
-AnyPort()
-{
-  http::ServerSettings settings;
-  settings.m_listen = { "127.0.0.1", 0 };
-  return settings;
-}
-
 /// The object API stand-in.
 struct Platform
 {
-  http::Loopback m_loopback{ AnyPort() };
+  http::Loopback m_loopback{ http::AnyPort() };
   std::shared_ptr<standin::ObjectApi> m_api =
     std::make_shared<standin::ObjectApi>(m_loopback.Kernel());
 
@@ -39,7 +31,7 @@
 /// An upstream that counts what it runs.
 struct CountingUpstream
 {
-  http::Loopback m_loopback{ AnyPort() };
+  http::Loopback m_loopback{ http::AnyPort() };
   std::atomic<int> m_runs{ 0 };
 
   CountingUpstream()
@@ -62,7 +54,7 @@
 /// An entry host with one service, "desk".
 struct Entry
 {
-  http::Loopback m_loopback{ AnyPort() };
+  http::Loopback m_loopback{ http::AnyPort() };
   std::shared_ptr<routing::Router> m_router;
   std::shared_ptr<Forwarder> m_forwarder;
 
@@ -243,7 +235,7 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1b\r\n" + line +
     "\r\n");
   REQUIRE(line.size() == 0x1b);
-  http::Loopback healthy(AnyPort());
+  http::Loopback healthy(http::AnyPort());
   std::atomic<int> resumed{ 0 };
   healthy.Http().AddRoute(
     { "POST",
--- a/src/http/tests/loopback.cpp
+++ b/src/http/tests/loopback.cpp
@@ -23,6 +23,14 @@
 
 } // namespace
 
+ServerSettings
+AnyPort()
+{
+  ServerSettings settings;
+  settings.m_listen = { "127.0.0.1", 0 };
+  return settings;
+}
+
 Loopback::Loopback(const ServerSettings& aSettings)
   : m_context(kernel::Identity{ "test", "d0", "", "127.0.0.1" }, 2)
   , m_clients(std::make_shared<Clients>(m_context))
--- a/src/http/tests/loopback.h
+++ b/src/http/tests/loopback.h
@@ -12,6 +12,10 @@
 
 namespace heatherdeal::http {
 
+/// Settings of a server on a free port of the loopback address.
+ServerSettings
+AnyPort();
+
 /// A process in miniature: control and traffic threads, a server on a free
 /// port, and clients.
 class Loopback
--- a/src/kernel/internal/plugin.cpp
+++ b/src/kernel/internal/plugin.cpp
@@ -33,6 +33,12 @@
 
 } // namespace
 
+std::any
+ParseNoSettings(SettingsReader&)
+{
+  return NoSettings{};
+}
+
 PluginRegistration::PluginRegistration(const PluginDescriptor& aDescriptor)
 {
   Registry().push_back(aDescriptor);
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -30,6 +30,13 @@
   boost::json::value (*m_dump)(Context& aContext) = nullptr;
 };
 
+/// Settings of a plug-in that has none.
+struct NoSettings
+{};
+
+std::any
+ParseNoSettings(SettingsReader& aReader);
+
 /// Registers a plug-in before main; one static object per plug-in.
 struct PluginRegistration
 {
--- a/src/lease/tests/restarttest.cpp
+++ b/src/lease/tests/restarttest.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-TEST_CASE("a host that starts again takes its own lease at once, as a new epoch")
+TEST_CASE(
+  "a host that starts again takes its own lease at once, as a new epoch")
 {
   const std::vector<LeaseEffect> effects = AfterFinding({ 7, "a", 3, false });
   REQUIRE(effects.size() == 1);
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -15,18 +15,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-http::ServerSettings
-AnyPort()
-{
-  http::ServerSettings settings;
-  settings.m_listen = { "127.0.0.1", 0 };
-  return settings;
-}
-
 /// The object API stand-in and a client of it.
 struct Store
 {
-  http::Loopback m_loopback{ AnyPort() };
+  http::Loopback m_loopback{ http::AnyPort() };
   std::shared_ptr<standin::ObjectApi> m_api;
   std::shared_ptr<ObjectStore> m_store;
 
@@ -171,7 +163,7 @@
 struct Neighbours
 {
   Store m_near;
-  http::Loopback m_farLoopback{ AnyPort() };
+  http::Loopback m_farLoopback{ http::AnyPort() };
   std::shared_ptr<ObjectStore> m_far;
 
   explicit Neighbours(const core::Endpoint& aStoreOfFar)
@@ -198,7 +190,7 @@
 /// A host that passes on calls and what it watches.
 struct Relaying
 {
-  http::Loopback m_loopback{ AnyPort() };
+  http::Loopback m_loopback{ http::AnyPort() };
   std::shared_ptr<ObjectStore> m_store;
 
   explicit Relaying(const core::Endpoint& aStore)
--- a/src/relay/relaymodule.cpp
+++ b/src/relay/relaymodule.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-struct NoSettings
-{};
-
-std::any
-ParseSettings(kernel::SettingsReader&)
-{
-  return NoSettings{};
-}
-
 absl::Status
 Start(kernel::Context& aContext, const std::any&)
 {
@@ -30,7 +21,7 @@
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
   .m_needs = kNeeds,
-  .m_parseSettings = ParseSettings,
+  .m_parseSettings = kernel::ParseNoSettings,
   .m_start = Start,
   .m_drain = nullptr,
   .m_dump = nullptr,
--- a/src/weights/reportedversionsmodule.cpp
+++ b/src/weights/reportedversionsmodule.cpp
@@ -9,15 +9,6 @@
 
 constexpr std::string_view kName = "reportedversions";
 
-struct NoSettings
-{};
-
-std::any
-ParseSettings(kernel::SettingsReader&)
-{
-  return NoSettings{};
-}
-
 /// Passes on the versions in the engines' own reports, where they send any.
 absl::Status
 Start(kernel::Context& aContext, const std::any&)
@@ -35,7 +26,7 @@
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kName,
   .m_needs = kNeeds,
-  .m_parseSettings = ParseSettings,
+  .m_parseSettings = kernel::ParseNoSettings,
   .m_start = Start,
   .m_drain = nullptr,
   .m_dump = nullptr,
