--- a/src/rollout/decisions/shard.cpp
+++ b/src/rollout/decisions/shard.cpp
@@ -59,17 +59,11 @@
   }
 }
 
+/// Effects that the shard adds nothing to.
+template<typename Effect>
 void
-Carry(ShardState& aState, delivery::SendBatch& aEffect, Effects& aEffects)
+Carry(ShardState&, Effect& aEffect, Effects& aEffects)
 {
-  (void)aState;
-  aEffects.push_back(std::move(aEffect));
-}
-
-void
-Carry(ShardState& aState, delivery::RefusePull& aEffect, Effects& aEffects)
-{
-  (void)aState;
   aEffects.push_back(std::move(aEffect));
 }
 
@@ -153,10 +147,9 @@
 void
 On(ShardState& aState,
    const EnginesReported& aEvent,
-   core::Instant aNow,
+   core::Instant,
    Effects& aEffects)
 {
-  (void)aNow;
   Merge(aState, aEvent);
   RequeueLostEngines(aState, aEffects);
 }
--- a/src/rollout/decisions/stragglers.cpp
+++ b/src/rollout/decisions/stragglers.cpp
@@ -52,7 +52,7 @@
       return;
     }
     if (IsWorthMoving(aState, sample, *target, aLoadGapPercent)) {
-      Requeue(aState, { aOrdinal, member }, sample, aEffects);
+      Stop(aState, { aOrdinal, member }, sample, aEffects);
       sample.m_migrated = true;
       sample.m_urgent = true;
       aState.m_totals.m_migrations += 1;
--- a/src/rollout/decisions/streams.cpp
+++ b/src/rollout/decisions/streams.cpp
@@ -147,15 +147,6 @@
   aEffects.push_back(DropSample{ aId });
 }
 
-void
-Requeue(ShardState& aState,
-        const core::SampleId& aId,
-        SampleProgress& aSample,
-        Effects& aEffects)
-{
-  Stop(aState, aId, aSample, aEffects);
-}
-
 const SampleProgress*
 AcceptTokens(ShardState& aState,
              const TokensArrived& aEvent,
@@ -169,7 +160,7 @@
   }
   if (aEvent.m_offset != sample->m_tokens) {
     // A gap or a repetition: what follows cannot be placed.
-    Requeue(aState, aEvent.m_sample, *sample, aEffects);
+    Stop(aState, aEvent.m_sample, *sample, aEffects);
     return nullptr;
   }
   aState.m_totals.m_tokens += aEvent.m_tokens;
@@ -193,10 +184,9 @@
 GroupProgress*
 EndStream(ShardState& aState,
           const StreamEnded& aEvent,
-          core::Instant aNow,
+          core::Instant,
           Effects& aEffects)
 {
-  (void)aNow;
   const RunningSample running =
     FindRunning(aState, aEvent.m_sample, aEvent.m_attempt);
   if (running.m_sample == nullptr) {
@@ -245,7 +235,7 @@
         if (engine != aState.m_engines.end()) {
           Suspect(aState, engine->second, aNow);
         }
-        Requeue(aState, aId, aSample, aEffects);
+        Stop(aState, aId, aSample, aEffects);
       }
       return true;
     });
@@ -258,7 +248,7 @@
                     [&](const core::SampleId& aId, SampleProgress& aSample) {
                       if (aSample.m_stage == SampleStage::Running &&
                           !aState.m_engines.contains(aSample.m_engine)) {
-                        Requeue(aState, aId, aSample, aEffects);
+                        Stop(aState, aId, aSample, aEffects);
                       }
                       return true;
                     });
--- a/src/rollout/decisions/streams.h
+++ b/src/rollout/decisions/streams.h
@@ -18,13 +18,6 @@
         SampleProgress& aSample,
         std::vector<ShardEffect>& aEffects);
 
-/// Cancels the sample's stream and queues the rest of it.
-void
-Requeue(ShardState& aState,
-        const core::SampleId& aId,
-        SampleProgress& aSample,
-        std::vector<ShardEffect>& aEffects);
-
 /// The sample that has grown; null if the tokens were not taken.
 const SampleProgress*
 AcceptTokens(ShardState& aState,
--- a/src/standin/objectapi/objectapi.cpp
+++ b/src/standin/objectapi/objectapi.cpp
@@ -215,7 +215,7 @@
     m_reads += 1;
     mustWait = wait.count() > 0 && m_revisions[kind] <= after;
     if (mustWait) {
-      m_waiters.push_back({ kind, after, reply });
+      m_waiters.push_back({ kind, reply });
     }
   }
   if (mustWait) {
--- a/src/standin/objectapi/objectapi.h
+++ b/src/standin/objectapi/objectapi.h
@@ -35,7 +35,6 @@
 struct Waiter
 {
   std::string m_kind;
-  uint64_t m_after = 0;
   std::shared_ptr<kernel::Reply<bool>> m_reply;
 };
 
