Long texts run on the engine that is usually fastest; refusing engines are asked with short items

Ruled out: pauses of running texts by a load (texts of 180 events take 6.0 s beside loads too), and load (median pace 34 ms at any load).

Now texts longer than the batch's mean go to the engine with the least usual pace; an engine that has refused is asked with the shortest waiting item. The engines of a pool are looked at once a pump (EngineViews), no longer once an item.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -18,6 +18,9 @@
 
 namespace heatherdeal::batches {
 
+struct EngineView;
+class EngineViews;
+
 struct BatchesSettings
 {
   bool m_enabled = false;
@@ -183,8 +186,18 @@
   void StartItems();
   void PlanMoves();
   void MoveItems();
-  std::shared_ptr<const routing::Pool> PoolFor(const BatchRun& aRun) const;
-  bool StartItem(const OwnedPtr& aOwned, size_t aItem);
+  const configuration::Route* RouteOf(const configuration::Document& aDocument,
+                                      const BatchRun& aRun) const;
+  std::shared_ptr<const routing::Pool> PoolFor(
+    const configuration::Route* aRoute,
+    const BatchRun& aRun) const;
+  void StartItemsOf(const OwnedPtr& aOwned, EngineViews& aViews);
+  /// Asks an engine that has refused whether it takes items again.
+  void TryEngine(const OwnedPtr& aOwned, EngineView& aView);
+  void StartItem(const OwnedPtr& aOwned,
+                 size_t aItem,
+                 EngineView& aView,
+                 size_t aEngine);
   void StartScores(const OwnedPtr& aOwned);
   bool StartScoring(const OwnedPtr& aOwned, size_t aItem);
   void StoreResults(const OwnedPtr& aOwned);
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -80,6 +80,7 @@
   std::map<std::string, size_t, std::less<>> m_indexes;
   /// Items in the order in which they should start.
   std::vector<size_t> m_order;
+  uint32_t m_meanExpectedTokens = 0;
   /// The engine on which a group's prompt was read last.
   std::map<std::string, core::UpstreamId> m_groupEngines;
   /// Durable results by position.
@@ -162,6 +163,10 @@
 std::optional<size_t>
 NextToRun(const BatchRun& aRun, core::Instant aNow);
 
+/// The item that may start now and is the last in order.
+std::optional<size_t>
+LastToRun(const BatchRun& aRun, core::Instant aNow);
+
 /// Begins a run; returns its number.
 uint64_t
 StartRun(BatchRun& aRun, size_t aItem, const core::UpstreamId& aEngine);
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -167,6 +167,24 @@
   return order;
 }
 
+uint32_t
+MeanExpectedTokens(const Submission& aSubmission)
+{
+  uint64_t sum = 0;
+  for (const BatchItem& item : aSubmission.m_items) {
+    sum += item.m_expectedTokens;
+  }
+  const size_t count = std::max<size_t>(1, aSubmission.m_items.size());
+  return static_cast<uint32_t>(sum / count);
+}
+
+bool
+MayStart(const BatchRun& aRun, size_t aItem, core::Instant aNow)
+{
+  const auto* waiting = std::get_if<ItemWaiting>(&aRun.m_items[aItem].m_phase);
+  return !aRun.m_ended && waiting != nullptr && waiting->m_from <= aNow;
+}
+
 size_t
 SizeOf(const ItemResult& aResult)
 {
@@ -194,6 +212,7 @@
     run.m_indexes.emplace(aSubmission->m_items[i].m_id.m_value, i);
   }
   run.m_order = OrderOf(*aSubmission);
+  run.m_meanExpectedTokens = MeanExpectedTokens(*aSubmission);
   run.m_submission = std::move(aSubmission);
   return run;
 }
@@ -214,17 +233,19 @@
 std::optional<size_t>
 NextToRun(const BatchRun& aRun, core::Instant aNow)
 {
-  if (aRun.m_ended) {
-    return std::nullopt;
-  }
-  for (const size_t index : aRun.m_order) {
-    const auto* waiting =
-      std::get_if<ItemWaiting>(&aRun.m_items[index].m_phase);
-    if (waiting != nullptr && waiting->m_from <= aNow) {
-      return index;
-    }
-  }
-  return std::nullopt;
+  const auto next = std::ranges::find_if(
+    aRun.m_order, [&](size_t aIndex) { return MayStart(aRun, aIndex, aNow); });
+  return next == aRun.m_order.end() ? std::nullopt : std::optional(*next);
+}
+
+std::optional<size_t>
+LastToRun(const BatchRun& aRun, core::Instant aNow)
+{
+  const auto last =
+    std::find_if(aRun.m_order.rbegin(),
+                 aRun.m_order.rend(),
+                 [&](size_t aIndex) { return MayStart(aRun, aIndex, aNow); });
+  return last == aRun.m_order.rend() ? std::nullopt : std::optional(*last);
 }
 
 uint64_t
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -8,6 +8,8 @@
 
 // Engines differ a little; what is slowed is slowed by a factor.
 constexpr double kSlowFactor = 1.7;
+// A full engine is about so much slower than an idle one.
+constexpr double kLoadWeight = 0.1;
 
 bool
 MayRun(const BatchRun& aRun, const EngineFacts& aEngine)
@@ -27,6 +29,33 @@
   return static_cast<double>(aEngine.m_outstanding) / aEngine.m_slots;
 }
 
+/// True for a text that may hold up its batch.
+bool
+IsLong(const BatchRun& aRun, size_t aItem)
+{
+  return aRun.m_submission->m_items[aItem].m_expectedTokens >
+         aRun.m_meanExpectedTokens;
+}
+
+/// What an engine costs a long text; the least is best. An engine without a
+/// known pace is taken for a fast one, so that it gets one.
+double
+CostOfLong(const EngineFacts& aEngine)
+{
+  const auto pace = static_cast<double>(aEngine.m_usualPace.count());
+  return pace * (1.0 + kLoadWeight * LoadOf(aEngine));
+}
+
+/// Compares engines for an item; true if the first is better.
+bool
+IsBetter(const EngineFacts& aOne, const EngineFacts& aOther, bool aForLong)
+{
+  if (aForLong && CostOfLong(aOne) != CostOfLong(aOther)) {
+    return CostOfLong(aOne) < CostOfLong(aOther);
+  }
+  return LoadOf(aOne) < LoadOf(aOther);
+}
+
 /// True if an engine that is not slow could take items once it has room.
 bool
 FastOneExists(const BatchRun& aRun,
@@ -75,13 +104,15 @@
   const ItemState& item = aRun.m_items[aItem];
   const std::vector<bool> slow = FindSlow(aEngines);
   const bool avoidSlow = FastOneExists(aRun, aEngines, slow);
+  const bool isLong = IsLong(aRun, aItem);
   const auto group =
     aRun.m_groupEngines.find(aRun.m_submission->m_items[aItem].m_group);
   std::optional<size_t> best;
   std::optional<size_t> last;
   for (size_t i = 0; i < aEngines.size(); ++i) {
     const EngineFacts& engine = aEngines[i];
-    const bool usable = MayRun(aRun, engine) && HasRoom(engine);
+    const bool usable =
+      MayRun(aRun, engine) && HasRoom(engine) && !engine.m_refuses;
     if (!usable || (avoidSlow && slow[i])) {
       continue;
     }
@@ -89,16 +120,41 @@
       last = i;
       continue;
     }
-    if (group != aRun.m_groupEngines.end() && group->second == engine.m_id) {
+    if (!isLong && group != aRun.m_groupEngines.end() &&
+        group->second == engine.m_id) {
       return i;
     }
-    if (!best || LoadOf(engine) < LoadOf(aEngines[*best])) {
+    if (!best || IsBetter(engine, aEngines[*best], isLong)) {
       best = i;
     }
   }
   return best ? best : last;
 }
 
+std::optional<size_t>
+EngineToTry(const BatchRun& aRun, std::span<const EngineFacts> aEngines)
+{
+  for (size_t i = 0; i < aEngines.size(); ++i) {
+    const EngineFacts& engine = aEngines[i];
+    if (engine.m_refuses && MayRun(aRun, engine) && HasRoom(engine)) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<size_t>
+ItemToTry(const BatchRun& aRun,
+          std::span<const EngineFacts> aEngines,
+          core::Instant aNow)
+{
+  const bool othersTake =
+    std::ranges::any_of(aEngines, [&](const EngineFacts& aEngine) {
+      return !aEngine.m_refuses && MayRun(aRun, aEngine);
+    });
+  return othersTake ? LastToRun(aRun, aNow) : NextToRun(aRun, aNow);
+}
+
 std::vector<size_t>
 ItemsToMove(const BatchRun& aRun, std::span<const EngineFacts> aEngines)
 {
--- /dev/null
+++ b/src/batches/internal/engineviews.cpp
@@ -0,0 +1,68 @@
+#include "batches/internal/engineviews.h"
+
+#include <algorithm>
+
+#include "kernel/controlthread.h"
+
+namespace heatherdeal::batches {
+
+namespace {
+
+// What was measured longer ago says nothing of an engine's present.
+constexpr core::Duration kPaceLifetime = std::chrono::seconds(2);
+
+EngineFacts
+FactsOf(const routing::Upstream& aUpstream,
+        std::string_view aWeights,
+        core::Instant aNow)
+{
+  const routing::UpstreamMeter& meter = *aUpstream.m_meter;
+  EngineFacts engine;
+  engine.m_id = aUpstream.m_id;
+  engine.m_slots = aUpstream.m_slots;
+  engine.m_outstanding = meter.m_outstanding.load();
+  const core::Instant ejectedUntil{ core::Duration(
+    meter.m_ejectedUntil.load()) };
+  const core::Instant refusesUntil{ core::Duration(
+    meter.m_refusesUntil.load()) };
+  engine.m_usable = !aUpstream.m_leaving && !meter.m_leaving.load() &&
+                    ejectedUntil <= aNow && refusesUntil <= aNow;
+  engine.m_refuses = meter.m_refusals.load() > 0;
+  engine.m_usualPace = core::Duration(meter.m_pace.load());
+  const core::Instant paceAt{ core::Duration(meter.m_paceAt.load()) };
+  if (aNow - paceAt < kPaceLifetime) {
+    engine.m_pace = engine.m_usualPace;
+  }
+  for (const objectstore::ServedWeights& weights : aUpstream.m_weights) {
+    if (weights.m_name == aWeights) {
+      engine.m_version = weights.m_version;
+    }
+  }
+  return engine;
+}
+
+} // namespace
+
+EngineView&
+EngineViews::For(std::shared_ptr<const routing::Pool> aPool,
+                 std::string_view aWeights)
+{
+  const auto found =
+    std::ranges::find_if(m_views, [&](const EngineView& aView) {
+      return aView.m_pool == aPool && aView.m_weights == aWeights;
+    });
+  if (found != m_views.end()) {
+    return *found;
+  }
+  EngineView view;
+  const core::Instant now = kernel::Now();
+  for (const routing::Upstream& upstream : aPool->m_upstreams) {
+    view.m_engines.push_back(FactsOf(upstream, aWeights, now));
+  }
+  view.m_pool = std::move(aPool);
+  view.m_weights = aWeights;
+  m_views.push_back(std::move(view));
+  return m_views.back();
+}
+
+} // namespace heatherdeal::batches
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -4,7 +4,7 @@
 #include "boost/asio/detached.hpp"
 #include "boost/asio/post.hpp"
 
-#include "batches/engines.h"
+#include "batches/internal/engineviews.h"
 #include "batches/internal/itemrun.h"
 #include "core/overloaded.h"
 #include "http/exchange.h"
@@ -21,43 +21,9 @@
 // An engine that has refused is tried by one item in this time.
 constexpr core::Duration kTrialTime = std::chrono::milliseconds(120);
 constexpr core::Duration kMoveInterval = std::chrono::milliseconds(250);
-// What was measured longer ago says nothing of an engine.
-constexpr core::Duration kPaceLifetime = std::chrono::seconds(2);
 // Engines that were left alone may take items again.
 constexpr core::Duration kEngineRetry = std::chrono::milliseconds(50);
 
-/// The engines of a pool as they look now.
-std::vector<EngineFacts>
-FactsOf(const routing::Pool& aPool, std::string_view aWeights)
-{
-  std::vector<EngineFacts> facts;
-  const core::Instant now = kernel::Now();
-  for (const routing::Upstream& upstream : aPool.m_upstreams) {
-    const routing::UpstreamMeter& meter = *upstream.m_meter;
-    EngineFacts engine;
-    engine.m_id = upstream.m_id;
-    engine.m_slots = upstream.m_slots;
-    engine.m_outstanding = meter.m_outstanding.load();
-    const core::Instant ejectedUntil{ core::Duration(
-      meter.m_ejectedUntil.load()) };
-    const core::Instant refusesUntil{ core::Duration(
-      meter.m_refusesUntil.load()) };
-    engine.m_usable = !upstream.m_leaving && !meter.m_leaving.load() &&
-                      ejectedUntil <= now && refusesUntil <= now;
-    const core::Instant paceAt{ core::Duration(meter.m_paceAt.load()) };
-    if (now - paceAt < kPaceLifetime) {
-      engine.m_pace = core::Duration(meter.m_pace.load());
-    }
-    for (const objectstore::ServedWeights& weights : upstream.m_weights) {
-      if (weights.m_name == aWeights) {
-        engine.m_version = weights.m_version;
-      }
-    }
-    facts.push_back(std::move(engine));
-  }
-  return facts;
-}
-
 http::Request
 RequestOf(const Submission& aSubmission, const BatchItem& aItem)
 {
@@ -175,42 +141,86 @@
   std::ranges::sort(open, {}, [](const OwnedPtr& aOwned) {
     return aOwned->m_run.m_policy.m_giveUpAt;
   });
+  EngineViews views;
   for (const OwnedPtr& owned : open) {
-    for (;;) {
-      const std::optional<size_t> item = NextToRun(owned->m_run, kernel::Now());
-      if (!item || !StartItem(owned, *item)) {
-        break;
-      }
+    StartItemsOf(owned, views);
+  }
+}
+
+void
+Batches::StartItemsOf(const OwnedPtr& aOwned, EngineViews& aViews)
+{
+  BatchRun& run = aOwned->m_run;
+  const auto document = m_configuration->Read();
+  const configuration::Route* route = RouteOf(*document, run);
+  for (;;) {
+    const std::optional<size_t> item = NextToRun(run, kernel::Now());
+    const auto pool = item ? PoolFor(route, run) : nullptr;
+    if (!pool) {
+      return;
     }
+    EngineView& view = aViews.For(pool, run.m_submission->m_weights);
+    const std::optional<size_t> engine =
+      ChooseEngine(run, *item, view.m_engines);
+    if (!engine) {
+      TryEngine(aOwned, view);
+      return;
+    }
+    StartItem(aOwned, *item, view, *engine);
   }
 }
 
+void
+Batches::TryEngine(const OwnedPtr& aOwned, EngineView& aView)
+{
+  const BatchRun& run = aOwned->m_run;
+  const std::optional<size_t> engine = EngineToTry(run, aView.m_engines);
+  const std::optional<size_t> item =
+    engine ? ItemToTry(run, aView.m_engines, kernel::Now()) : std::nullopt;
+  if (!item) {
+    return;
+  }
+  const core::Instant until = kernel::Now() + kTrialTime;
+  routing::UpstreamMeter& meter = *aView.m_pool->m_upstreams[*engine].m_meter;
+  meter.m_refusesUntil.store(until.time_since_epoch().count());
+  StartItem(aOwned, *item, aView, *engine);
+  aView.m_engines[*engine].m_usable = false;
+}
+
+const configuration::Route*
+Batches::RouteOf(const configuration::Document& aDocument,
+                 const BatchRun& aRun) const
+{
+  return configuration::FindRoute(
+    aDocument, aRun.m_submission->m_host, aRun.m_submission->m_path);
+}
+
 std::shared_ptr<const routing::Pool>
-Batches::PoolFor(const BatchRun& aRun) const
+Batches::PoolFor(const configuration::Route* aRoute, const BatchRun& aRun) const
 {
-  const auto document = m_configuration->Read();
-  const configuration::Route* route = configuration::FindRoute(
-    *document, aRun.m_submission->m_host, aRun.m_submission->m_path);
-  if (route == nullptr) {
+  if (aRoute == nullptr) {
     return nullptr;
   }
   return m_relay->Upstreams().Find(
-    configuration::ServiceFor(*route, aRun.m_runs).m_value);
+    configuration::ServiceFor(*aRoute, aRun.m_runs).m_value);
 }
 
 void
 Batches::MoveItems()
 {
+  const auto document = m_configuration->Read();
+  EngineViews views;
   for (const auto& [id, owned] : m_owned) {
     const bool idle = !owned->m_loaded || owned->m_run.m_ended ||
                       NextToRun(owned->m_run, kernel::Now()).has_value();
-    const auto pool = idle ? nullptr : PoolFor(owned->m_run);
+    const auto pool =
+      idle ? nullptr : PoolFor(RouteOf(*document, owned->m_run), owned->m_run);
     if (!pool) {
       continue;
     }
-    const std::vector<EngineFacts> engines =
-      FactsOf(*pool, owned->m_run.m_submission->m_weights);
-    for (const size_t item : ItemsToMove(owned->m_run, engines)) {
+    const EngineView& view =
+      views.For(pool, owned->m_run.m_submission->m_weights);
+    for (const size_t item : ItemsToMove(owned->m_run, view.m_engines)) {
       const auto work = owned->m_work.find(item);
       if (work == owned->m_work.end()) {
         continue;
@@ -230,38 +240,28 @@
   }
 }
 
-bool
-Batches::StartItem(const OwnedPtr& aOwned, size_t aItem)
+void
+Batches::StartItem(const OwnedPtr& aOwned,
+                   size_t aItem,
+                   EngineView& aView,
+                   size_t aEngine)
 {
   BatchRun& run = aOwned->m_run;
   const Submission& submission = *run.m_submission;
-  const auto pool = PoolFor(run);
-  if (!pool) {
-    return false;
-  }
-  const std::vector<EngineFacts> engines = FactsOf(*pool, submission.m_weights);
-  const std::optional<size_t> chosen = ChooseEngine(run, aItem, engines);
-  if (!chosen) {
-    return false;
-  }
   const BatchItem& item = submission.m_items[aItem];
   ItemRunTask task;
   task.m_request = RequestOf(submission, item);
   task.m_batchId = submission.m_id.m_value;
   task.m_itemId = item.m_id.m_value;
-  task.m_ticket = std::make_shared<routing::Ticket>(pool, *chosen);
-  routing::UpstreamMeter& meter = *task.m_ticket->Chosen().m_meter;
-  if (meter.m_refusals.load() > 0) {
-    const core::Instant until = kernel::Now() + kTrialTime;
-    meter.m_refusesUntil.store(until.time_since_epoch().count());
-  }
+  task.m_ticket = std::make_shared<routing::Ticket>(aView.m_pool, aEngine);
+  aView.m_engines[aEngine].m_outstanding += 1;
   task.m_resumeAfter = run.m_items[aItem].m_events;
   task.m_oldest = submission.m_oldest;
   task.m_expectedTokens = item.m_expectedTokens;
   task.m_startedAt = kernel::Now();
   task.m_deadline = run.m_policy.m_giveUpAt;
   task.m_abort = std::make_shared<http::CallAbort>();
-  const uint64_t number = StartRun(run, aItem, engines[*chosen].m_id);
+  const uint64_t number = StartRun(run, aItem, aView.m_engines[aEngine].m_id);
   const size_t loop = m_context.Traffic().NextIndex();
   aOwned->m_work[aItem] = { loop, task.m_abort };
   m_context.Metrics().Get("batches.runs").Add();
@@ -284,7 +284,6 @@
                               std::move(task),
                               std::move(done)),
                  asio::detached);
-  return true;
 }
 
 void
--- a/src/batches/tests/enginestest.cpp
+++ b/src/batches/tests/enginestest.cpp
@@ -80,6 +80,47 @@
   CHECK(ChooseEngine(run, 0, engines) == 1);
 }
 
+TEST_CASE("long texts go to the engine that is usually fastest")
+{
+  auto submission = std::make_shared<Submission>();
+  for (const uint32_t tokens : { 9000U, 300U, 200U }) {
+    BatchItem item;
+    item.m_id.m_value = "t" + std::to_string(tokens);
+    item.m_group = "a";
+    item.m_expectedTokens = tokens;
+    submission->m_items.push_back(std::move(item));
+  }
+  const BatchRun run = MakeRun(std::move(submission), {});
+  std::vector<EngineFacts> engines{ Engine("x", 0), Engine("y", 5) };
+  engines[0].m_usualPace = milliseconds(42);
+  engines[1].m_usualPace = milliseconds(32);
+  CHECK(ChooseEngine(run, 0, engines) == 1);
+  CHECK(ChooseEngine(run, 1, engines) == 0);
+  engines[1].m_outstanding = 8;
+  CHECK(ChooseEngine(run, 0, engines) == 0);
+}
+
+TEST_CASE("an engine that has refused is asked with the shortest item")
+{
+  auto submission = std::make_shared<Submission>();
+  for (const uint32_t tokens : { 200U, 9000U }) {
+    BatchItem item;
+    item.m_id.m_value = "t" + std::to_string(tokens);
+    item.m_expectedTokens = tokens;
+    submission->m_items.push_back(std::move(item));
+  }
+  const BatchRun run = MakeRun(std::move(submission), {});
+  std::vector<EngineFacts> engines{ Engine("x", 0), Engine("y", 8) };
+  CHECK(EngineToTry(run, engines) == std::nullopt);
+  engines[0].m_refuses = true;
+  CHECK(ChooseEngine(run, 1, engines) == std::nullopt);
+  CHECK(EngineToTry(run, engines) == 0);
+  CHECK(ItemToTry(run, engines, core::Instant{}) == 0);
+  // Where every engine refuses there is nothing to spare the long one for.
+  engines[1].m_refuses = true;
+  CHECK(ItemToTry(run, engines, core::Instant{}) == 1);
+}
+
 TEST_CASE("items leave a slow engine while others have room, and only then")
 {
   BatchRun run = TwoGroups();
