Unfinished texts survive their owner

Cause: after a kill, a wipe or a replacement the owner's unfinished texts were generated from the start.

Runs tell their owner once a second what they have brought; a batch with long unfinished texts puts them into one object of the store, at most every 1.2 s. The next owner goes on behind their last event where their versions still fit.

Weighed: the owner's disk (no call, but lost with a wipe or a replaced machine) and a peer's memory (lost when all processes are killed).

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -138,6 +138,8 @@
     bool m_loading = false;
     bool m_loaded = false;
     BatchRun m_run;
+    /// Version of its checkpoint in the object store; 0: none.
+    uint64_t m_checkpointVersion = 0;
     std::vector<Waiter> m_waiters;
     std::map<size_t, Work> m_work;
   };
@@ -167,6 +169,9 @@
   void EnsureLoading(const OwnedPtr& aOwned);
   void LoadItems(const OwnedPtr& aOwned);
   void LoadChunk(const OwnedPtr& aOwned, uint64_t aNumber);
+  void LoadCheckpoint(const OwnedPtr& aOwned);
+  void LoadCheckpointVersion(const OwnedPtr& aOwned);
+  void AdoptTexts(const OwnedPtr& aOwned, std::string_view aValue);
   /// Runs a task again after a failure of the store.
   void Later(std::function<void()> aTask);
   void Activate(const OwnedPtr& aOwned,
@@ -180,7 +185,8 @@
   void Adopt(std::shared_ptr<const Submission> aSubmission, uint64_t aVersion);
 
   // Running, in internal/running.cpp; scoring, in internal/scoring.cpp;
-  // storing and answering, in internal/listing.cpp.
+  // storing and answering, in internal/listing.cpp; unfinished texts, in
+  // internal/checkpoints.cpp.
   void Pump();
   void Serve(const OwnedPtr& aOwned);
   void StartItems();
@@ -204,6 +210,7 @@
   void LogLost(const OwnedPtr& aOwned, const ResultChunk& aChunk) const;
   void WriteChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk);
   void ReadTakenChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk);
+  void StoreCheckpoint(const OwnedPtr& aOwned);
   void AbortWork(OwnedBatch& aOwned);
   void AnswerWaiters(OwnedBatch& aOwned);
   BatchPolicy PolicyOf(const Submission& aSubmission) const;
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -19,6 +19,9 @@
   core::Instant m_giveUpAt{};
   /// How long results are gathered before they are stored together.
   core::Duration m_gather = std::chrono::milliseconds(200);
+  /// Time between checkpoints, and the events of a text that are worth one.
+  core::Duration m_checkpointInterval = std::chrono::milliseconds(1200);
+  uint64_t m_checkpointEvents = 25;
 };
 
 /// Waits for an engine, from m_from on.
@@ -58,6 +61,8 @@
   /// Last event of the text; 0: none yet.
   uint64_t m_events = 0;
   std::vector<core::WeightVersion> m_versions;
+  /// Last event that a checkpoint holds.
+  uint64_t m_savedEvents = 0;
   uint32_t m_failedRuns = 0;
   uint32_t m_failedScores = 0;
   /// The engine that ran it last, to try another one first.
@@ -71,6 +76,21 @@
   std::vector<ItemResult> m_results;
 };
 
+/// A text that is not whole yet.
+struct PartialText
+{
+  ItemId m_item;
+  std::string m_text;
+  uint64_t m_lastEvent = 0;
+  std::vector<core::WeightVersion> m_versions;
+};
+
+/// The long texts of a batch as far as they are, for its next owner.
+struct Checkpoint
+{
+  std::vector<PartialText> m_texts;
+};
+
 /// One batch as its owner runs it.
 struct BatchRun
 {
@@ -91,6 +111,8 @@
   /// The chunk whose write is under way.
   std::optional<ResultChunk> m_writing;
   uint64_t m_nextChunk = 0;
+  /// The next checkpoint is not taken before; max: one is under way.
+  core::Instant m_checkpointFrom{};
   uint64_t m_runs = 0;
   bool m_ended = false;
 };
@@ -130,9 +152,9 @@
 struct RunReport
 {
   RunEnding m_ending;
-  /// Data of the new events, joined by line feeds.
+  /// Data of the new events since the last report, joined by line feeds.
   std::string m_text;
-  /// Last whole event; 0: none.
+  /// Last whole event of the run; 0: none.
   uint64_t m_lastEvent = 0;
   std::vector<core::WeightVersion> m_versions;
 };
@@ -179,6 +201,13 @@
        RunReport aReport,
        core::Instant aNow);
 
+/// Keeps what a run has brought so far; ignored if it has been overtaken.
+void
+ExtendText(BatchRun& aRun,
+           size_t aItem,
+           uint64_t aNumber,
+           const RunReport& aPart);
+
 std::optional<size_t>
 NextToScore(const BatchRun& aRun, core::Instant aNow);
 
@@ -212,6 +241,22 @@
 void
 ChunkTaken(BatchRun& aRun, ResultChunk aFound, core::Instant aNow);
 
+/// The checkpoint to write now, if enough has come since the last one.
+std::optional<Checkpoint>
+NextCheckpoint(BatchRun& aRun, core::Instant aNow);
+
+/// The checkpoint under way was written, or was not.
+void
+CheckpointWritten(BatchRun& aRun,
+                  const Checkpoint& aCheckpoint,
+                  bool aStored,
+                  core::Instant aNow);
+
+/// Goes on with the texts of an earlier owner that this batch may use; returns
+/// how many.
+size_t
+AdoptCheckpoint(BatchRun& aRun, Checkpoint aCheckpoint);
+
 /// No items start any more; what is listed stays.
 void
 EndBatch(BatchRun& aRun);
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -32,6 +32,7 @@
 {
   aItem.m_text.clear();
   aItem.m_events = 0;
+  aItem.m_savedEvents = 0;
   aItem.m_versions.clear();
 }
 
@@ -64,7 +65,7 @@
 void
 Append(ItemState& aItem, const RunReport& aReport)
 {
-  if (aReport.m_lastEvent == 0) {
+  if (aReport.m_lastEvent <= aItem.m_events) {
     return;
   }
   if (aItem.m_events > 0) {
@@ -153,6 +154,12 @@
   Retry(item, aNow + kAfterOutdated);
 }
 
+bool
+IsDone(const ItemState& aItem)
+{
+  return std::holds_alternative<ItemDone>(aItem.m_phase);
+}
+
 /// The longest texts first: a step ends with its last ones.
 std::vector<size_t>
 OrderOf(const Submission& aSubmission)
@@ -195,9 +202,7 @@
 bool
 AllDecided(const BatchRun& aRun)
 {
-  return std::ranges::all_of(aRun.m_items, [](const ItemState& aItem) {
-    return std::holds_alternative<ItemDone>(aItem.m_phase);
-  });
+  return std::ranges::all_of(aRun.m_items, IsDone);
 }
 
 } // namespace
@@ -276,6 +281,19 @@
              aReport.m_ending);
 }
 
+void
+ExtendText(BatchRun& aRun,
+           size_t aItem,
+           uint64_t aNumber,
+           const RunReport& aPart)
+{
+  ItemState& item = aRun.m_items[aItem];
+  const auto* running = std::get_if<ItemRunning>(&item.m_phase);
+  if (running != nullptr && running->m_run == aNumber && !aRun.m_ended) {
+    Append(item, aPart);
+  }
+}
+
 std::optional<size_t>
 NextToScore(const BatchRun& aRun, core::Instant aNow)
 {
@@ -340,7 +358,7 @@
     return;
   }
   for (size_t i = 0; i < aRun.m_items.size(); ++i) {
-    if (!std::holds_alternative<ItemDone>(aRun.m_items[i].m_phase)) {
+    if (!IsDone(aRun.m_items[i])) {
       Decide(aRun, i, Lost{}, aNow);
     }
   }
@@ -407,6 +425,81 @@
   aRun.m_storeFrom = aNow;
 }
 
+std::optional<Checkpoint>
+NextCheckpoint(BatchRun& aRun, core::Instant aNow)
+{
+  const bool useless = aRun.m_ended || aRun.m_policy.m_singleVersion;
+  if (useless || aNow < aRun.m_checkpointFrom) {
+    return std::nullopt;
+  }
+  const uint64_t enough = aRun.m_policy.m_checkpointEvents;
+  const bool due = std::ranges::any_of(aRun.m_items, [&](const auto& aItem) {
+    return !IsDone(aItem) && aItem.m_events >= aItem.m_savedEvents + enough;
+  });
+  if (!due) {
+    return std::nullopt;
+  }
+  Checkpoint checkpoint;
+  for (size_t i = 0; i < aRun.m_items.size(); ++i) {
+    const ItemState& item = aRun.m_items[i];
+    if (!IsDone(item) && item.m_events >= enough) {
+      checkpoint.m_texts.push_back({ aRun.m_submission->m_items[i].m_id,
+                                     item.m_text,
+                                     item.m_events,
+                                     item.m_versions });
+    }
+  }
+  aRun.m_checkpointFrom = core::Instant::max();
+  return checkpoint;
+}
+
+void
+CheckpointWritten(BatchRun& aRun,
+                  const Checkpoint& aCheckpoint,
+                  bool aStored,
+                  core::Instant aNow)
+{
+  aRun.m_checkpointFrom = aNow + aRun.m_policy.m_checkpointInterval;
+  if (!aStored) {
+    return;
+  }
+  for (const PartialText& text : aCheckpoint.m_texts) {
+    const auto index = aRun.m_indexes.find(text.m_item.m_value);
+    if (index != aRun.m_indexes.end()) {
+      aRun.m_items[index->second].m_savedEvents = text.m_lastEvent;
+    }
+  }
+}
+
+size_t
+AdoptCheckpoint(BatchRun& aRun, Checkpoint aCheckpoint)
+{
+  if (aRun.m_policy.m_singleVersion) {
+    return 0;
+  }
+  size_t adopted = 0;
+  for (PartialText& text : aCheckpoint.m_texts) {
+    const auto index = aRun.m_indexes.find(text.m_item.m_value);
+    if (index == aRun.m_indexes.end()) {
+      continue;
+    }
+    ItemState& item = aRun.m_items[index->second];
+    if (!std::holds_alternative<ItemWaiting>(item.m_phase)) {
+      continue;
+    }
+    item.m_text = std::move(text.m_text);
+    item.m_events = text.m_lastEvent;
+    item.m_versions = std::move(text.m_versions);
+    item.m_savedEvents = item.m_events;
+    if (!VersionsFit(aRun, item)) {
+      StartOver(item);
+      continue;
+    }
+    adopted += 1;
+  }
+  return adopted;
+}
+
 void
 EndBatch(BatchRun& aRun)
 {
--- a/src/batches/internal/batchjson.cpp
+++ b/src/batches/internal/batchjson.cpp
@@ -89,19 +89,61 @@
   return item;
 }
 
+json::array
+ToValue(std::span<const core::WeightVersion> aVersions)
+{
+  json::array versions;
+  for (const core::WeightVersion version : aVersions) {
+    versions.push_back(version.m_number);
+  }
+  return versions;
+}
+
+std::vector<core::WeightVersion>
+ParseVersions(kernel::SettingsReader& aReader)
+{
+  std::vector<core::WeightVersion> versions;
+  aReader.ForEach("versions",
+                  [&](const json::value& aValue, std::string_view aPath) {
+                    if (!aValue.is_int64() && !aValue.is_uint64()) {
+                      aReader.Errors().m_errors.push_back(
+                        { std::string(aPath), "(value)", "a version" });
+                      return;
+                    }
+                    versions.push_back({ aValue.to_number<uint64_t>() });
+                  });
+  return versions;
+}
+
+json::value
+ToValue(const PartialText& aText)
+{
+  return { { "item", aText.m_item.m_value },
+           { "text", aText.m_text },
+           { "last_event", aText.m_lastEvent },
+           { "versions", ToValue(aText.m_versions) } };
+}
+
+PartialText
+ParsePartialText(kernel::SettingsReader& aReader)
+{
+  PartialText text;
+  text.m_item.m_value = aReader.Text("item");
+  text.m_text = aReader.Text("text");
+  text.m_lastEvent =
+    static_cast<uint64_t>(aReader.Integer("last_event", kNumbers));
+  text.m_versions = ParseVersions(aReader);
+  return text;
+}
+
 json::value
 ToValue(const ItemResult& aResult)
 {
   json::object result{ { "item", aResult.m_item.m_value } };
   std::visit(
     core::Overloaded{ [&result](const Completed& aCompleted) {
-                       json::array versions;
-                       for (const core::WeightVersion version :
-                            aCompleted.m_versions) {
-                         versions.push_back(version.m_number);
-                       }
                        result["text"] = aCompleted.m_text;
-                       result["versions"] = std::move(versions);
+                       result["versions"] = ToValue(aCompleted.m_versions);
                        result["score"] = aCompleted.m_score;
                      },
                       [&result](const Lost&) { result["lost"] = true; } },
@@ -121,15 +163,7 @@
   Completed completed;
   completed.m_text = aReader.Text("text");
   completed.m_score = aReader.TextOr("score", "");
-  aReader.ForEach(
-    "versions", [&](const json::value& aValue, std::string_view aPath) {
-      if (!aValue.is_int64() && !aValue.is_uint64()) {
-        aReader.Errors().m_errors.push_back(
-          { std::string(aPath), "(value)", "a version" });
-        return;
-      }
-      completed.m_versions.push_back({ aValue.to_number<uint64_t>() });
-    });
+  completed.m_versions = ParseVersions(aReader);
   result.m_outcome = std::move(completed);
   return result;
 }
@@ -207,6 +241,32 @@
     });
 }
 
+std::string
+ToJson(const Checkpoint& aCheckpoint)
+{
+  json::array texts;
+  for (const PartialText& text : aCheckpoint.m_texts) {
+    texts.push_back(ToValue(text));
+  }
+  const json::value value{ { "texts", std::move(texts) } };
+  return json::serialize(value);
+}
+
+absl::StatusOr<Checkpoint>
+ParseCheckpoint(std::string_view aText)
+{
+  return kernel::ParseMessage<Checkpoint>(
+    aText, "checkpoint", [](kernel::SettingsReader& aReader) {
+      Checkpoint checkpoint;
+      aReader.ForEach(
+        "texts", [&](const json::value& aValue, std::string_view aPath) {
+          kernel::SettingsReader element(aValue, aPath, aReader.Errors());
+          checkpoint.m_texts.push_back(ParsePartialText(element));
+        });
+      return checkpoint;
+    });
+}
+
 std::string
 ToJson(const Placement& aPlacement)
 {
--- a/src/batches/internal/batchjson.h
+++ b/src/batches/internal/batchjson.h
@@ -18,6 +18,11 @@
 absl::StatusOr<ResultChunk>
 ParseChunk(std::string_view aText);
 
+std::string
+ToJson(const Checkpoint& aCheckpoint);
+absl::StatusOr<Checkpoint>
+ParseCheckpoint(std::string_view aText);
+
 std::string
 ToJson(const Placement& aPlacement);
 absl::StatusOr<Placement>
--- /dev/null
+++ b/src/batches/internal/checkpoints.cpp
@@ -0,0 +1,96 @@
+#include "batches/batches.h"
+#include "batches/internal/batchjson.h"
+#include "batches/internal/objectnames.h"
+#include "http/exchange.h"
+#include "kernel/eventlog.h"
+
+namespace heatherdeal::batches {
+
+void
+Batches::StoreCheckpoint(const OwnedPtr& aOwned)
+{
+  std::optional<Checkpoint> next =
+    IsOwned(aOwned) ? NextCheckpoint(aOwned->m_run, kernel::Now())
+                    : std::nullopt;
+  if (!next) {
+    return;
+  }
+  const auto checkpoint = std::make_shared<const Checkpoint>(*std::move(next));
+  m_store->Write(
+    { std::string(kCheckpointKind), aOwned->m_id.m_value },
+    aOwned->m_checkpointVersion,
+    ToJson(*checkpoint),
+    objectstore::CallPriority::Status,
+    [self = shared_from_this(), aOwned, checkpoint](
+      const absl::StatusOr<uint64_t>& aVersion) {
+      if (aVersion.ok()) {
+        aOwned->m_checkpointVersion = *aVersion;
+      } else {
+        // Only progress is lost; the next one is tried in its time.
+        self->m_context.Metrics().Get("batches.checkpoint_failed").Add();
+      }
+      CheckpointWritten(
+        aOwned->m_run, *checkpoint, aVersion.ok(), kernel::Now());
+      if (absl::IsAborted(aVersion.status())) {
+        self->LoadCheckpointVersion(aOwned);
+      }
+    });
+}
+
+void
+Batches::LoadCheckpointVersion(const OwnedPtr& aOwned)
+{
+  m_store->Read(
+    { std::string(kCheckpointKind), aOwned->m_id.m_value },
+    objectstore::CallPriority::Status,
+    [aOwned](const absl::StatusOr<objectstore::StoredObject>& aRead) {
+      if (aRead.ok()) {
+        aOwned->m_checkpointVersion = aRead->m_version;
+      }
+    });
+}
+
+void
+Batches::LoadCheckpoint(const OwnedPtr& aOwned)
+{
+  m_store->Read({ std::string(kCheckpointKind), aOwned->m_id.m_value },
+                objectstore::CallPriority::Configuration,
+                [self = shared_from_this(), aOwned](
+                  const absl::StatusOr<objectstore::StoredObject>& aRead) {
+                  if (!self->IsOwned(aOwned)) {
+                    return;
+                  }
+                  if (aRead.ok() && aRead->m_version > 0) {
+                    aOwned->m_checkpointVersion = aRead->m_version;
+                    self->AdoptTexts(aOwned, aRead->m_value);
+                  }
+                  // Without a checkpoint the texts are generated from the
+                  // start.
+                  self->Activate(aOwned, aOwned->m_run.m_submission);
+                });
+}
+
+void
+Batches::AdoptTexts(const OwnedPtr& aOwned, std::string_view aValue)
+{
+  absl::StatusOr<Checkpoint> checkpoint = ParseCheckpoint(aValue);
+  if (!checkpoint.ok()) {
+    kernel::LogEvent(
+      kernel::LogLevel::Warning,
+      "batches",
+      "load-failed",
+      { { "batch", aOwned->m_id.m_value },
+        { "reason", http::DescribeStatus(checkpoint.status()) } });
+    return;
+  }
+  const size_t found = checkpoint->m_texts.size();
+  const size_t adopted = AdoptCheckpoint(aOwned->m_run, *std::move(checkpoint));
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "batches",
+                   "texts-resumed",
+                   { { "batch", aOwned->m_id.m_value },
+                     { "found", found },
+                     { "usable", adopted } });
+}
+
+} // namespace heatherdeal::batches
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -18,6 +18,8 @@
 constexpr core::Duration kFirstEventTime = std::chrono::seconds(3);
 // Longer than a change of weights holds a stream up.
 constexpr core::Duration kProgressTime = std::chrono::milliseconds(1800);
+// How often a run tells what it has brought.
+constexpr core::Duration kTellInterval = std::chrono::seconds(1);
 // An engine refuses while it loads weights, or for want of a free place.
 constexpr core::Duration kRefusalTime = std::chrono::milliseconds(150);
 
@@ -89,7 +91,8 @@
       aReport.m_ending = RunBroken{};
       return false;
     }
-    if (aReport.m_lastEvent != 0) {
+    // Each event that the report holds has left its version there.
+    if (!aReport.m_versions.empty()) {
       aReport.m_text += '\n';
     }
     aReport.m_text += aEvent.m_data;
@@ -114,6 +117,17 @@
   core::WeightVersion m_version;
 };
 
+/// Hands over what has come so far; the report goes on behind it.
+void
+TellProgress(const ItemRunTask& aTask, RunReport& aReport)
+{
+  RunReport part;
+  std::swap(part.m_text, aReport.m_text);
+  std::swap(part.m_versions, aReport.m_versions);
+  part.m_lastEvent = aReport.m_lastEvent;
+  aTask.m_progress(std::move(part));
+}
+
 asio::awaitable<void>
 ReadText(http::AnswerStream& aStream,
          const ItemRunTask& aTask,
@@ -122,6 +136,7 @@
 {
   TextCollector text(aTask, aVersion);
   core::Duration patience = kFirstEventTime;
+  core::Instant tellAt = kernel::Now() + kTellInterval;
   while (!aStream.HasEnded()) {
     const core::Instant limit =
       std::min(aTask.m_deadline, kernel::Now() + patience);
@@ -137,6 +152,10 @@
       LogEnd(aTask, "unusable", "order or version of its events", aReport);
       co_return;
     }
+    if (kernel::Now() >= tellAt && !aReport.m_versions.empty()) {
+      TellProgress(aTask, aReport);
+      tellAt = kernel::Now() + kTellInterval;
+    }
   }
   aReport.m_ending = RunCompleted{};
 }
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "boost/asio/awaitable.hpp"
@@ -25,6 +26,8 @@
   core::Instant m_startedAt{};
   core::Instant m_deadline{};
   std::shared_ptr<http::CallAbort> m_abort;
+  /// Takes what the run has brought since the last time, on the loop.
+  std::function<void(RunReport)> m_progress;
 };
 
 /// Generates until the stream ends or breaks. Runs on the loop of aClient.
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -80,7 +80,7 @@
         return;
       }
       if (aObject.ok() && aObject->m_version == 0) {
-        self->Activate(aOwned, aOwned->m_run.m_submission);
+        self->LoadCheckpoint(aOwned);
         return;
       }
       absl::StatusOr<ResultChunk> chunk =
--- a/src/batches/internal/objectnames.h
+++ b/src/batches/internal/objectnames.h
@@ -10,6 +10,7 @@
 inline constexpr std::string_view kPlacementKind = "batches";
 inline constexpr std::string_view kItemsKind = "batchitems";
 inline constexpr std::string_view kResultsKind = "batchresults";
+inline constexpr std::string_view kCheckpointKind = "batchcheckpoints";
 
 /// What a host that runs batches is called in the host list.
 inline constexpr std::string_view kHostService = "rollout";
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -248,6 +248,7 @@
     for (uint64_t i = 0; i < owned->m_run.m_nextChunk; ++i) {
       m_store->Remove({ std::string(kResultsKind), ChunkName(id, i) });
     }
+    m_store->Remove({ std::string(kCheckpointKind), id });
     m_store->Remove({ std::string(kItemsKind), id });
     m_store->Remove({ std::string(kPlacementKind), id });
     kernel::LogEvent(
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -266,6 +266,14 @@
   aOwned->m_work[aItem] = { loop, task.m_abort };
   m_context.Metrics().Get("batches.runs").Add();
   const core::Instant startedAt = task.m_startedAt;
+  task.m_progress =
+    [self = shared_from_this(), aOwned, aItem, number](RunReport aPart) {
+      auto part = std::make_shared<RunReport>(std::move(aPart));
+      self->m_context.Control().Post([self, aOwned, aItem, number, part] {
+        ExtendText(aOwned->m_run, aItem, number, *part);
+        self->StoreCheckpoint(aOwned);
+      });
+    };
   auto done = [self = shared_from_this(), aOwned, aItem, number, startedAt](
                 RunReport aReport) {
     self->m_context.Metrics()
--- a/src/batches/tests/batchjsontest.cpp
+++ b/src/batches/tests/batchjsontest.cpp
@@ -36,6 +36,13 @@
   REQUIRE(chunkBack.ok());
   CHECK(ToJson(*chunkBack) == ToJson(chunk));
 
+  Checkpoint checkpoint;
+  checkpoint.m_texts.push_back({ { "i" }, "a\nb\"", 7, { { 2 }, { 3 } } });
+  const auto resumed = ParseCheckpoint(ToJson(checkpoint));
+  REQUIRE(resumed.ok());
+  CHECK(resumed->m_texts[0].m_lastEvent == 7);
+  CHECK(ToJson(*resumed) == ToJson(checkpoint));
+
   Placement placement{ { "b" }, "host", true, 5, 0 };
   const auto placed = ParsePlacement(ToJson(placement));
   REQUIRE(placed.ok());
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -71,6 +71,67 @@
 
 } // namespace
 
+TEST_CASE("the next owner goes on with the texts of a checkpoint")
+{
+  BatchRun run = RunOf(2);
+  const uint64_t number = StartRun(run, 1, { "e0" });
+  ExtendText(run, 1, number, Text(RunBroken{}, "a\nb", 30));
+  const std::optional<Checkpoint> checkpoint = NextCheckpoint(run, At(1000));
+  REQUIRE(checkpoint);
+  REQUIRE(checkpoint->m_texts.size() == 1);
+  CHECK(!NextCheckpoint(run, At(9000)));
+  CheckpointWritten(run, *checkpoint, true, At(1100));
+  CHECK(!NextCheckpoint(run, At(9000)));
+
+  BatchRun next = RunOf(2);
+  CHECK(AdoptCheckpoint(next, *checkpoint) == 1);
+  CHECK(next.m_items[1].m_events == 30);
+  RunNext(next, Text(RunCompleted{}, "c", 31, 6), At(2000));
+  const auto chunk = NextChunk(next, At(5000));
+  REQUIRE(chunk);
+  const Completed& completed = CompletedOf(chunk->m_results[0]);
+  CHECK(completed.m_text == "a\nb\nc");
+  CHECK(completed.m_versions ==
+        std::vector<core::WeightVersion>{ { 5 }, { 6 } });
+}
+
+TEST_CASE("a checkpoint that was not stored is taken again")
+{
+  BatchRun run = RunOf(1);
+  const uint64_t number = StartRun(run, 0, { "e0" });
+  ExtendText(run, 0, number, Text(RunBroken{}, "a", 30));
+  const auto checkpoint = NextCheckpoint(run, At(0));
+  REQUIRE(checkpoint);
+  CheckpointWritten(run, *checkpoint, false, At(100));
+  CHECK(!NextCheckpoint(run, At(200)));
+  CHECK(NextCheckpoint(run, At(2000)));
+}
+
+TEST_CASE("texts that a batch may not use are generated anew")
+{
+  Checkpoint checkpoint;
+  checkpoint.m_texts.push_back({ { "i0" }, "old", 30, { { 4 }, { 5 } } });
+  checkpoint.m_texts.push_back({ { "foreign" }, "x", 30, { { 5 } } });
+  checkpoint.m_texts.push_back({ { "i1" }, "listed", 30, { { 5 } } });
+  BatchRun run = RunOf(2);
+  AdoptChunk(run, { 0, { { { "i1" }, Lost{} } } });
+  CHECK(AdoptCheckpoint(run, checkpoint) == 0);
+  CHECK(run.m_items[0].m_events == 0);
+  CHECK(run.m_items[0].m_text.empty());
+
+  BatchRun single = RunOf(2);
+  single.m_policy.m_singleVersion = true;
+  CHECK(AdoptCheckpoint(single, checkpoint) == 0);
+}
+
+TEST_CASE("what an overtaken run brings is left out")
+{
+  BatchRun run = RunOf(1);
+  const uint64_t number = StartRun(run, 0, { "e0" });
+  ExtendText(run, 0, number + 1, Text(RunBroken{}, "a", 30));
+  CHECK(run.m_items[0].m_events == 0);
+}
+
 TEST_CASE("the longest texts start first")
 {
   BatchRun run = RunOf(3);
