Reads of leases and of result chunks may lag

A host that waits for a lease reads the latest record only once the holder is overdue; taking stays a conditional update. A chunk never changes once it stands, so only its absence is made sure of by a latest read. Ended batches no longer read their checkpoint.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -169,6 +169,11 @@
   void EnsureLoading(const OwnedPtr& aOwned);
   void LoadItems(const OwnedPtr& aOwned);
   void LoadChunk(const OwnedPtr& aOwned, uint64_t aNumber);
+  /// Makes sure that there is no such chunk before it goes on.
+  void LoadLastChunk(const OwnedPtr& aOwned, uint64_t aNumber);
+  void TakeChunk(const OwnedPtr& aOwned,
+                 uint64_t aNumber,
+                 const absl::StatusOr<objectstore::StoredObject>& aObject);
   void LoadCheckpoint(const OwnedPtr& aOwned);
   void LoadCheckpointVersion(const OwnedPtr& aOwned);
   void AdoptTexts(const OwnedPtr& aOwned, std::string_view aValue);
--- a/src/batches/internal/checkpoints.cpp
+++ b/src/batches/internal/checkpoints.cpp
@@ -53,6 +53,11 @@
 void
 Batches::LoadCheckpoint(const OwnedPtr& aOwned)
 {
+  const auto placement = m_placements.find(aOwned->m_id.m_value);
+  if (placement != m_placements.end() && placement->second.m_ended) {
+    Activate(aOwned, aOwned->m_run.m_submission);
+    return;
+  }
   m_store->Read({ std::string(kCheckpointKind), aOwned->m_id.m_value },
                 objectstore::CallPriority::Configuration,
                 [self = shared_from_this(), aOwned](
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -71,30 +71,58 @@
   if (!IsOwned(aOwned)) {
     return;
   }
-  m_store->Read(
+  // A chunk never changes: one that is found may have been found late.
+  m_store->ReadLagging(
     { std::string(kResultsKind), ChunkName(aOwned->m_id.m_value, aNumber) },
     objectstore::CallPriority::Configuration,
     [self = shared_from_this(), aOwned, aNumber](
       const absl::StatusOr<objectstore::StoredObject>& aObject) {
-      if (!self->IsOwned(aOwned)) {
-        return;
-      }
       if (aObject.ok() && aObject->m_version == 0) {
-        self->LoadCheckpoint(aOwned);
+        self->LoadLastChunk(aOwned, aNumber);
         return;
       }
-      absl::StatusOr<ResultChunk> chunk =
-        aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
-      if (!chunk.ok()) {
-        self->Later(
-          [self, aOwned, aNumber] { self->LoadChunk(aOwned, aNumber); });
+      self->TakeChunk(aOwned, aNumber, aObject);
+    });
+}
+
+void
+Batches::LoadLastChunk(const OwnedPtr& aOwned, uint64_t aNumber)
+{
+  m_store->Read(
+    { std::string(kResultsKind), ChunkName(aOwned->m_id.m_value, aNumber) },
+    objectstore::CallPriority::Configuration,
+    [self = shared_from_this(), aOwned, aNumber](
+      const absl::StatusOr<objectstore::StoredObject>& aObject) {
+      if (!aObject.ok() || aObject->m_version > 0) {
+        self->TakeChunk(aOwned, aNumber, aObject);
         return;
       }
-      AdoptChunk(aOwned->m_run, *std::move(chunk));
-      self->LoadChunk(aOwned, aNumber + 1);
+      if (self->IsOwned(aOwned)) {
+        self->LoadCheckpoint(aOwned);
+      }
     });
 }
 
+void
+Batches::TakeChunk(const OwnedPtr& aOwned,
+                   uint64_t aNumber,
+                   const absl::StatusOr<objectstore::StoredObject>& aObject)
+{
+  if (!IsOwned(aOwned)) {
+    return;
+  }
+  absl::StatusOr<ResultChunk> chunk =
+    aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
+  if (!chunk.ok()) {
+    Later([self = shared_from_this(), aOwned, aNumber] {
+      self->LoadChunk(aOwned, aNumber);
+    });
+    return;
+  }
+  AdoptChunk(aOwned->m_run, *std::move(chunk));
+  LoadChunk(aOwned, aNumber + 1);
+}
+
 void
 Batches::Activate(const OwnedPtr& aOwned,
                   std::shared_ptr<const Submission> aSubmission)
--- a/src/lease/decisions/lease.cpp
+++ b/src/lease/decisions/lease.cpp
@@ -268,10 +268,23 @@
 
 // StepDue
 
+/// True while the holder has renewed lately, so that nothing is to be decided.
+bool
+IsSettled(const LeaseState& aState, const Following& aRole, core::Instant aNow)
+{
+  const LeasePolicy& policy = aState.m_policy;
+  const core::Instant seenAt = aRole.m_freeAt - policy.m_length;
+  return aRole.m_record && !aRole.m_record->m_released &&
+         aNow < seenAt + policy.m_renewAfter + policy.m_retryAfter;
+}
+
 void
-Step(LeaseState& aState, Following&, core::Instant aNow, Effects& aEffects)
+Step(LeaseState& aState,
+     Following& aRole,
+     core::Instant aNow,
+     Effects& aEffects)
 {
-  aEffects.push_back(ReadRecord{});
+  aEffects.push_back(ReadRecord{ !IsSettled(aState, aRole, aNow) });
   aState.m_nextStep = aNow + aState.m_policy.m_length;
 }
 
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -121,7 +121,10 @@
                                 ResignRequested>;
 
 struct ReadRecord
-{};
+{
+  /// False while an answer that is seconds old does no harm.
+  bool m_latest = true;
+};
 
 /// Write m_record if the object still has version m_ifVersion.
 struct WriteRecord
--- a/src/lease/tests/restarttest.cpp
+++ b/src/lease/tests/restarttest.cpp
@@ -42,4 +42,33 @@
   CHECK(AfterFinding({ 7, "b", 3, false }).empty());
 }
 
+TEST_CASE("a host that waits reads the latest record only when it matters")
+{
+  LeaseState state;
+  state.m_self = "a";
+  state.m_policy.m_length = std::chrono::seconds(6);
+  state.m_policy.m_renewAfter = std::chrono::seconds(2);
+  const auto readAt = [&state](int aSeconds) {
+    std::vector<LeaseEffect> effects;
+    Apply(state, StepDue{}, At(aSeconds), effects);
+    REQUIRE(effects.size() == 1);
+    return std::get<ReadRecord>(effects[0]).m_latest;
+  };
+  const auto seeAt = [&state](const LeaseRecord& aRecord, int aSeconds) {
+    std::vector<LeaseEffect> effects;
+    Apply(state, RecordSeen{ aRecord }, At(aSeconds), effects);
+    CHECK(effects.empty());
+  };
+  CHECK(readAt(1));
+  seeAt({ 7, "b", 3, false }, 1);
+  CHECK_FALSE(readAt(2));
+  // An answer that is older than what is known changes nothing.
+  seeAt({ 6, "c", 2, false }, 2);
+  CHECK(HolderOf(state) == "b");
+  CHECK_FALSE(readAt(3));
+  seeAt({ 7, "b", 3, false }, 3);
+  // The holder should have renewed by now.
+  CHECK(readAt(4));
+}
+
 } // namespace heatherdeal::lease
--- a/src/objectstore/internal/objectcalls.cpp
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -18,9 +18,10 @@
 asio::awaitable<absl::StatusOr<StoredObject>>
 CallRead(const StoreExchange& aExchange,
          ObjectKey aKey,
+         Freshness aFreshness,
          core::Instant aDeadline)
 {
-  http::Request request = CodecInUse().m_encodeRead(aKey);
+  http::Request request = CodecInUse().m_encodeRead(aKey, aFreshness);
   const absl::StatusOr<http::Answer> answer =
     co_await aExchange(std::move(request), aDeadline);
   if (!answer.ok()) {
--- a/src/objectstore/internal/objectcalls.h
+++ b/src/objectstore/internal/objectcalls.h
@@ -18,6 +18,7 @@
 boost::asio::awaitable<absl::StatusOr<StoredObject>>
 CallRead(const StoreExchange& aExchange,
          ObjectKey aKey,
+         Freshness aFreshness,
          core::Instant aDeadline);
 
 boost::asio::awaitable<absl::StatusOr<uint64_t>>
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -53,12 +53,13 @@
 RunRead(kernel::Context& aContext,
         std::shared_ptr<StorePath> aPath,
         ObjectKey aKey,
+        Freshness aFreshness,
         core::Instant aDeadline,
         ObjectStore::ReadCallback aDone)
 {
   const StoreExchange exchange = ExchangeOf(aPath);
   absl::StatusOr<StoredObject> object =
-    co_await CallRead(exchange, aKey, aDeadline);
+    co_await CallRead(exchange, aKey, aFreshness, aDeadline);
   CallBack(aContext, std::move(aDone), std::move(object));
 }
 
@@ -87,7 +88,7 @@
          core::Instant aDeadline)
 {
   const absl::StatusOr<StoredObject> found =
-    co_await CallRead(aExchange, aWrite.m_key, aDeadline);
+    co_await CallRead(aExchange, aWrite.m_key, Freshness::Latest, aDeadline);
   if (!found.ok()) {
     co_return aUnknown;
   }
@@ -148,6 +149,23 @@
 
 void
 ObjectStore::Read(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone)
+{
+  ReadAs(Freshness::Latest, std::move(aKey), aPriority, std::move(aDone));
+}
+
+void
+ObjectStore::ReadLagging(ObjectKey aKey,
+                         CallPriority aPriority,
+                         ReadCallback aDone)
+{
+  ReadAs(Freshness::MayLag, std::move(aKey), aPriority, std::move(aDone));
+}
+
+void
+ObjectStore::ReadAs(Freshness aFreshness,
+                    ObjectKey aKey,
+                    CallPriority aPriority,
+                    ReadCallback aDone)
 {
   if (!TakeCall(m_budget, m_settings.m_budget, aPriority, kernel::Now())) {
     m_context.Metrics().Get("objectstore.over_budget").Add();
@@ -158,6 +176,7 @@
                  RunRead(m_context,
                          m_path,
                          std::move(aKey),
+                         aFreshness,
                          kernel::Now() + m_settings.m_callTime,
                          std::move(aDone)),
                  asio::detached);
--- a/src/objectstore/internal/owncodec.cpp
+++ b/src/objectstore/internal/owncodec.cpp
@@ -67,7 +67,7 @@
 }
 
 http::Request
-EncodeRead(const ObjectKey& aKey)
+EncodeRead(const ObjectKey& aKey, Freshness)
 {
   http::Request request;
   request.m_target = TargetOf(aKey);
--- a/src/objectstore/object.h
+++ b/src/objectstore/object.h
@@ -27,4 +27,12 @@
   std::string m_writeToken;
 };
 
+/// How new the answer to a read has to be.
+enum class Freshness : uint8_t
+{
+  Latest,
+  /// May be seconds old, where the store answers such reads for less.
+  MayLag,
+};
+
 } // namespace heatherdeal::objectstore
--- a/src/objectstore/objectcodec.h
+++ b/src/objectstore/objectcodec.h
@@ -51,7 +51,8 @@
 /// How calls and answers of one object API are encoded.
 struct ObjectCodec
 {
-  http::Request (*m_encodeRead)(const ObjectKey& aKey) = nullptr;
+  http::Request (*m_encodeRead)(const ObjectKey& aKey,
+                                Freshness aFreshness) = nullptr;
   /// A missing object is decoded to version 0.
   absl::StatusOr<StoredObject> (*m_decodeRead)(const ObjectKey& aKey,
                                                const http::Answer& aAnswer,
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -55,6 +55,8 @@
 
   /// An object that is not there is returned with version 0.
   void Read(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone);
+  /// The same for less, and what it returns may be seconds old.
+  void ReadLagging(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone);
 
   /// Writes if the object still has aIfVersion (0: does not exist). A reply
   /// lost after the write took effect is found out by reading back: the
@@ -98,6 +100,10 @@
   void SubscribeMissed(MissedCallback aMissed);
 
 private:
+  void ReadAs(Freshness aFreshness,
+              ObjectKey aKey,
+              CallPriority aPriority,
+              ReadCallback aDone);
   std::shared_ptr<KindWatch> FindWatch(std::string_view aKind) const;
   void AnnounceMissed(std::string_view aKind, uint64_t aRevision);
   void StartWatch(std::string aKind,
