Long texts get a head start; results that complete a step are stored at once

For 40 ms after a batch begins only texts above its mean length start, and a refused item asks another engine after 20 ms in place of 60. Results that make up the number of whole groups which the trainer waits for are stored without gathering; the number was decoded and not used before.

--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -22,6 +22,8 @@
   /// Time between checkpoints, and the events of a text that are worth one.
   core::Duration m_checkpointInterval = std::chrono::milliseconds(1200);
   uint64_t m_checkpointEvents = 25;
+  /// Before that only long texts start.
+  core::Instant m_shortFrom{};
 };
 
 /// Waits for an engine, from m_from on.
@@ -98,6 +100,8 @@
   BatchPolicy m_policy;
   std::vector<ItemState> m_items;
   std::map<std::string, size_t, std::less<>> m_indexes;
+  /// Items of each group.
+  std::map<std::string, std::vector<size_t>, std::less<>> m_groups;
   /// Items in the order in which they should start.
   std::vector<size_t> m_order;
   uint32_t m_meanExpectedTokens = 0;
@@ -181,6 +185,10 @@
 void
 AdoptChunk(BatchRun& aRun, ResultChunk aChunk);
 
+/// True for a text that may hold up its batch.
+bool
+IsLong(const BatchRun& aRun, size_t aItem);
+
 /// The next item that an engine should begin; nothing if none may start now.
 std::optional<size_t>
 NextToRun(const BatchRun& aRun, core::Instant aNow);
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -1,6 +1,7 @@
 #include "batches/batchrun.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "core/overloaded.h"
 
@@ -8,7 +9,9 @@
 
 namespace {
 
-constexpr core::Duration kAfterRefusal = std::chrono::milliseconds(60);
+// Another engine is asked soon; the one that refused is left alone longer.
+constexpr core::Duration kAfterRefusal = std::chrono::milliseconds(20);
+constexpr core::Duration kAfterBreak = std::chrono::milliseconds(60);
 constexpr core::Duration kAfterFailure = std::chrono::milliseconds(100);
 constexpr core::Duration kAfterOutdated = std::chrono::milliseconds(100);
 constexpr core::Duration kAfterNoScore = std::chrono::milliseconds(150);
@@ -119,7 +122,7 @@
   if (aRun.m_policy.m_singleVersion || !VersionsFit(aRun, item)) {
     StartOver(item);
   }
-  Retry(item, aNow + kAfterRefusal);
+  Retry(item, aNow + kAfterBreak);
 }
 
 void
@@ -185,11 +188,54 @@
   return static_cast<uint32_t>(sum / count);
 }
 
+/// When the item may start; Instant::max() if it does not wait.
+core::Instant
+StartsFrom(const BatchRun& aRun, size_t aItem)
+{
+  const auto* waiting = std::get_if<ItemWaiting>(&aRun.m_items[aItem].m_phase);
+  if (aRun.m_ended || waiting == nullptr) {
+    return core::Instant::max();
+  }
+  return IsLong(aRun, aItem)
+           ? waiting->m_from
+           : std::max(waiting->m_from, aRun.m_policy.m_shortFrom);
+}
+
 bool
 MayStart(const BatchRun& aRun, size_t aItem, core::Instant aNow)
 {
-  const auto* waiting = std::get_if<ItemWaiting>(&aRun.m_items[aItem].m_phase);
-  return !aRun.m_ended && waiting != nullptr && waiting->m_from <= aNow;
+  return StartsFrom(aRun, aItem) <= aNow;
+}
+
+size_t
+CountIf(const BatchRun& aRun, const std::function<bool(size_t)>& aIsThere)
+{
+  return static_cast<size_t>(
+    std::ranges::count_if(aRun.m_groups, [&](const auto& aGroup) {
+      return std::ranges::all_of(aGroup.second, aIsThere);
+    }));
+}
+
+/// True when the results that wait make up the groups that the trainer wants.
+bool
+CompletesStep(const BatchRun& aRun)
+{
+  const size_t wanted = aRun.m_submission->m_wantedGroups;
+  if (wanted == 0) {
+    return false;
+  }
+  std::set<std::string_view> waiting;
+  for (const ItemResult& result : aRun.m_ready) {
+    waiting.insert(result.m_item.m_value);
+  }
+  const auto isDecided = [&](size_t aItem) {
+    return IsDone(aRun.m_items[aItem]);
+  };
+  const auto isListed = [&](size_t aItem) {
+    const std::string& id = aRun.m_submission->m_items[aItem].m_id.m_value;
+    return isDecided(aItem) && !waiting.contains(id);
+  };
+  return CountIf(aRun, isDecided) >= wanted && CountIf(aRun, isListed) < wanted;
 }
 
 size_t
@@ -215,6 +261,7 @@
   run.m_items.resize(aSubmission->m_items.size());
   for (size_t i = 0; i < aSubmission->m_items.size(); ++i) {
     run.m_indexes.emplace(aSubmission->m_items[i].m_id.m_value, i);
+    run.m_groups[aSubmission->m_items[i].m_group].push_back(i);
   }
   run.m_order = OrderOf(*aSubmission);
   run.m_meanExpectedTokens = MeanExpectedTokens(*aSubmission);
@@ -235,6 +282,13 @@
   aRun.m_nextChunk = aChunk.m_number + 1;
 }
 
+bool
+IsLong(const BatchRun& aRun, size_t aItem)
+{
+  return aRun.m_submission->m_items[aItem].m_expectedTokens >
+         aRun.m_meanExpectedTokens;
+}
+
 std::optional<size_t>
 NextToRun(const BatchRun& aRun, core::Instant aNow)
 {
@@ -367,9 +421,12 @@
 std::optional<ResultChunk>
 NextChunk(BatchRun& aRun, core::Instant aNow)
 {
+  if (aRun.m_writing || aRun.m_ready.empty() || aRun.m_ended) {
+    return std::nullopt;
+  }
   const bool due =
-    !aRun.m_ready.empty() && (aRun.m_storeFrom <= aNow || AllDecided(aRun));
-  if (aRun.m_writing || !due || aRun.m_ended) {
+    aRun.m_storeFrom <= aNow || AllDecided(aRun) || CompletesStep(aRun);
+  if (!due) {
     return std::nullopt;
   }
   ResultChunk chunk;
@@ -522,13 +579,13 @@
   if (!aRun.m_ready.empty() && !aRun.m_writing) {
     next = std::min(next, aRun.m_storeFrom);
   }
-  for (const ItemState& item : aRun.m_items) {
+  for (size_t i = 0; i < aRun.m_items.size(); ++i) {
     const core::Instant from =
       std::visit(core::Overloaded{
-                   [](const ItemWaiting& aPhase) { return aPhase.m_from; },
+                   [&](const ItemWaiting&) { return StartsFrom(aRun, i); },
                    [](const ItemUnscored& aPhase) { return aPhase.m_from; },
                    [](const auto&) { return core::Instant::max(); } },
-                 item.m_phase);
+                 aRun.m_items[i].m_phase);
     // What could have started by now waits for an engine, not for the time.
     if (from > aNow) {
       next = std::min(next, from);
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -29,14 +29,6 @@
   return static_cast<double>(aEngine.m_outstanding) / aEngine.m_slots;
 }
 
-/// True for a text that may hold up its batch.
-bool
-IsLong(const BatchRun& aRun, size_t aItem)
-{
-  return aRun.m_submission->m_items[aItem].m_expectedTokens >
-         aRun.m_meanExpectedTokens;
-}
-
 /// What an engine costs a long text; the least is best. An engine without a
 /// known pace is taken for a fast one, so that it gets one.
 double
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr core::Duration kRetryAfter = std::chrono::milliseconds(300);
+// In it long texts that are refused find another engine before the short ones
+// have filled them all.
+constexpr core::Duration kHeadStart = std::chrono::milliseconds(40);
 
 } // namespace
 
@@ -128,6 +131,7 @@
                   std::shared_ptr<const Submission> aSubmission)
 {
   aOwned->m_loaded = true;
+  aOwned->m_run.m_policy.m_shortFrom = kernel::Now() + kHeadStart;
   const auto placement = m_placements.find(aOwned->m_id.m_value);
   if (placement != m_placements.end() && placement->second.m_ended) {
     EndBatch(aOwned->m_run);
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -132,6 +132,42 @@
   CHECK(run.m_items[0].m_events == 0);
 }
 
+TEST_CASE("short texts wait until the long ones have found engines")
+{
+  BatchRun run = RunOf(4);
+  run.m_policy.m_shortFrom = At(40);
+  const std::vector<size_t> order{ 3, 2 };
+  for (const size_t expected : order) {
+    CHECK(NextToRun(run, At(0)) == expected);
+    StartRun(run, expected, { "e0" });
+  }
+  CHECK(NextToRun(run, At(39)) == std::nullopt);
+  CHECK(NextDeadline(run, At(0)) == At(40));
+  CHECK(NextToRun(run, At(40)) == 1);
+}
+
+TEST_CASE("results that complete the wanted groups are stored at once")
+{
+  auto submission = std::make_shared<Submission>(*BatchOf(8));
+  submission->m_wantedGroups = 1;
+  BatchPolicy policy;
+  policy.m_giveUpAt = At(40'000);
+  BatchRun run = MakeRun(submission, policy);
+  // The longest come first: the second group.
+  for (int i = 0; i < 3; ++i) {
+    RunNext(run, Text(RunCompleted{}, "t", 1), At(10));
+    CHECK(!NextChunk(run, At(10)));
+  }
+  RunNext(run, Text(RunCompleted{}, "t", 1), At(20));
+  const auto chunk = NextChunk(run, At(20));
+  REQUIRE(chunk);
+  CHECK(chunk->m_results.size() == 4);
+  ChunkStored(run);
+  // What comes beyond them is gathered.
+  RunNext(run, Text(RunCompleted{}, "t", 1), At(30));
+  CHECK(!NextChunk(run, At(30)));
+}
+
 TEST_CASE("the longest texts start first")
 {
   BatchRun run = RunOf(3);
