Clean-up: one registry of encodings, steps that encodings share, an unused field

The three registries of codecs were one template, one of them with a copy and two with pointers; the missing object, the removal and the conflict with the write itself stood in both encodings of the object API. UpstreamMeter's served version was never read.

--- a/src/objectstore/internal/owncodec.cpp
+++ b/src/objectstore/internal/owncodec.cpp
@@ -4,6 +4,7 @@
 
 #include "core/failure.h"
 #include "http/client.h"
+#include "kernel/codecregistry.h"
 #include "kernel/json.h"
 
 namespace heatherdeal::objectstore {
@@ -58,12 +59,7 @@
   if (!found.ok()) {
     return found.status();
   }
-  // The conflict may be with this very write, whose reply was lost.
-  if (found->m_writeToken == aWrite.m_token) {
-    return found->m_version;
-  }
-  return core::ToStatus(
-    core::VersionConflict{ aWrite.m_ifVersion, found->m_version });
+  return VersionAfterConflict(aWrite, *found);
 }
 
 http::Request
@@ -80,9 +76,7 @@
            const core::Endpoint& aPeer)
 {
   if (aAnswer.m_head.m_status == kNotFound) {
-    StoredObject missing;
-    missing.m_key = aKey;
-    return missing;
+    return MissingObject(aKey);
   }
   if (aAnswer.m_head.m_status != kOk) {
     return StatusOfAnswer(aAnswer, aPeer);
@@ -128,10 +122,7 @@
 http::Request
 EncodeRemove(const ObjectKey& aKey)
 {
-  http::Request request;
-  request.m_method = "DELETE";
-  request.m_target = TargetOf(aKey);
-  return request;
+  return RemoveRequest(TargetOf(aKey));
 }
 
 http::Request
@@ -194,13 +185,6 @@
   .m_hostKinds = kHostKinds,
 };
 
-const ObjectCodec*&
-Registered()
-{
-  static const ObjectCodec* registered = nullptr;
-  return registered;
-}
-
 } // namespace
 
 const ObjectCodec&
@@ -224,15 +208,43 @@
   return boost::json::serialize(body);
 }
 
+StoredObject
+MissingObject(const ObjectKey& aKey)
+{
+  StoredObject missing;
+  missing.m_key = aKey;
+  return missing;
+}
+
+http::Request
+RemoveRequest(std::string aTarget)
+{
+  http::Request request;
+  request.m_method = "DELETE";
+  request.m_target = std::move(aTarget);
+  return request;
+}
+
+absl::StatusOr<uint64_t>
+VersionAfterConflict(const WriteRequest& aWrite, const StoredObject& aFound)
+{
+  // The conflict may be with this very write, whose reply was lost.
+  if (aFound.m_writeToken == aWrite.m_token) {
+    return aFound.m_version;
+  }
+  return core::ToStatus(
+    core::VersionConflict{ aWrite.m_ifVersion, aFound.m_version });
+}
+
 ObjectCodecRegistration::ObjectCodecRegistration(const ObjectCodec& aCodec)
 {
-  Registered() = &aCodec;
+  kernel::CodecRegistry<ObjectCodec>::Register(aCodec);
 }
 
 const ObjectCodec&
 CodecInUse()
 {
-  return Registered() == nullptr ? kOwnCodec : *Registered();
+  return kernel::CodecRegistry<ObjectCodec>::InUse(kOwnCodec);
 }
 
 } // namespace heatherdeal::objectstore
--- a/src/objectstore/objectcodec.h
+++ b/src/objectstore/objectcodec.h
@@ -85,6 +85,20 @@
 std::string
 EncodeOwnList(uint64_t aRevision, std::span<const StoredObject> aObjects);
 
+// Steps that encodings share.
+
+/// What a read returns of an object that is not there.
+StoredObject
+MissingObject(const ObjectKey& aKey);
+
+http::Request
+RemoveRequest(std::string aTarget);
+
+/// The version if the conflict is with the write itself, whose answer was
+/// lost; VersionConflict otherwise.
+absl::StatusOr<uint64_t>
+VersionAfterConflict(const WriteRequest& aWrite, const StoredObject& aFound);
+
 /// Registers another encoding before main, for binaries that speak it.
 struct ObjectCodecRegistration
 {
--- a/src/relay/internal/upstreamcodec.cpp
+++ b/src/relay/internal/upstreamcodec.cpp
@@ -1,28 +1,25 @@
 #include "relay/upstreamcodec.h"
 
+#include "kernel/codecregistry.h"
+
 namespace heatherdeal::relay {
 
 namespace {
 
-UpstreamCodec&
-Registered()
-{
-  static UpstreamCodec registered;
-  return registered;
-}
+const UpstreamCodec kNoCodec;
 
 } // namespace
 
 UpstreamCodecRegistration::UpstreamCodecRegistration(
   const UpstreamCodec& aCodec)
 {
-  Registered() = aCodec;
+  kernel::CodecRegistry<UpstreamCodec>::Register(aCodec);
 }
 
 const UpstreamCodec&
 CodecInUse()
 {
-  return Registered();
+  return kernel::CodecRegistry<UpstreamCodec>::InUse(kNoCodec);
 }
 
 } // namespace heatherdeal::relay
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -40,8 +40,6 @@
   EjectionState m_ejection;
   /// The start of the upstream that this meter belongs to.
   uint64_t m_incarnation = 0;
-  /// Newest weight version that its own answers named.
-  std::atomic<uint64_t> m_servedVersion{ 0 };
 };
 
 struct Upstream
--- a/src/weights/internal/ordercodec.cpp
+++ b/src/weights/internal/ordercodec.cpp
@@ -2,6 +2,8 @@
 
 #include "boost/json/serialize.hpp"
 
+#include "kernel/codecregistry.h"
+
 namespace heatherdeal::weights {
 
 namespace {
@@ -43,24 +45,17 @@
   .m_decodeReport = nullptr,
 };
 
-const OrderCodec*&
-Registered()
-{
-  static const OrderCodec* registered = nullptr;
-  return registered;
-}
-
 } // namespace
 
 OrderCodecRegistration::OrderCodecRegistration(const OrderCodec& aCodec)
 {
-  Registered() = &aCodec;
+  kernel::CodecRegistry<OrderCodec>::Register(aCodec);
 }
 
 const OrderCodec&
 CodecInUse()
 {
-  return Registered() == nullptr ? kOwnCodec : *Registered();
+  return kernel::CodecRegistry<OrderCodec>::InUse(kOwnCodec);
 }
 
 } // namespace heatherdeal::weights
