--- a/src/batches/batchgateway.h
+++ b/src/batches/batchgateway.h
@@ -8,6 +8,7 @@
 #include "boost/asio/awaitable.hpp"
 
 #include "batches/batch.h"
+#include "batches/reach.h"
 #include "gossip/gossip.h"
 #include "http/client.h"
 #include "kernel/context.h"
@@ -36,6 +37,10 @@
 private:
   std::vector<objectstore::HostEntry> CandidatesFor(
     const BatchId& aBatch) const;
+  /// Notes the outcome of a call; true if the host was silent.
+  bool Note(std::string_view aHost,
+            core::Instant aSentAt,
+            const absl::Status& aStatus);
   void Remember(const BatchId& aBatch, std::string_view aOwner);
 
   std::shared_ptr<objectstore::Hosts> m_hosts;
@@ -44,6 +49,7 @@
   mutable std::mutex m_mutex;
   /// Owners that differ from the first choice, as other hosts told.
   std::map<std::string, std::string, std::less<>> m_owners;
+  Reach m_reach;
 };
 
 } // namespace heatherdeal::batches
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -19,6 +19,9 @@
 constexpr std::string_view kOwnerHeader = "X-Heatherdeal-Owner";
 constexpr size_t kMaxRemembered = 4096;
 constexpr size_t kMaxTries = 5;
+// After so many silent hosts the way to all of them must be taken for cut: the
+// caller fares better with another entry host.
+constexpr size_t kMaxSilent = 2;
 // A host that takes a call answers it within this time, waits included.
 constexpr core::Duration kTryTime = std::chrono::milliseconds(2500);
 
@@ -78,9 +81,28 @@
   if (owner != m_owners.end()) {
     Prefer(candidates, owner->second);
   }
+  const core::Instant now = kernel::Now();
+  std::erase_if(candidates, [&](const objectstore::HostEntry& aHost) {
+    return Rests(m_reach, aHost.m_name, now);
+  });
   return candidates;
 }
 
+bool
+BatchGateway::Note(std::string_view aHost,
+                   core::Instant aSentAt,
+                   const absl::Status& aStatus)
+{
+  const core::Instant now = kernel::Now();
+  const std::scoped_lock lock(m_mutex);
+  if (aStatus.ok()) {
+    NoteAnswer(m_reach, aHost);
+    return false;
+  }
+  NoteFailure(m_reach, aHost, now - aSentAt, now);
+  return IsSilence(now - aSentAt);
+}
+
 void
 BatchGateway::Remember(const BatchId& aBatch, std::string_view aOwner)
 {
@@ -101,13 +123,16 @@
   absl::Status worst =
     core::ToStatus(core::NoUpstream{ std::string(kHostService) });
   std::optional<http::Answer> unavailable;
+  size_t silent = 0;
   for (size_t tries = 0; tries < kMaxTries && !candidates.empty(); ++tries) {
     const objectstore::HostEntry host = candidates.front();
     candidates.erase(candidates.begin());
-    const core::Instant limit = std::min(aDeadline, kernel::Now() + kTryTime);
+    const core::Instant sentAt = kernel::Now();
+    const core::Instant limit = std::min(aDeadline, sentAt + kTryTime);
     absl::StatusOr<http::Answer> answer =
       co_await m_clients->For(aLoopIndex)
         .Call(host.m_endpoint, aRequest, http::Reuse::Allowed, limit);
+    silent += Note(host.m_name, sentAt, answer.status()) ? 1 : 0;
     if (!answer.ok()) {
       kernel::LogEvent(kernel::LogLevel::Info,
                        "batches",
@@ -121,6 +146,9 @@
       if (executed != core::Executed::No) {
         worst = answer.status();
       }
+      if (silent >= kMaxSilent) {
+        break;
+      }
       continue;
     }
     const uint32_t status = answer->m_head.m_status;
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -24,7 +24,8 @@
 constexpr unsigned kHttp11 = 11;
 constexpr size_t kIdlePerPeer = 32;
 constexpr core::Duration kIdleTime = std::chrono::seconds(20);
-constexpr core::Duration kConnectTime = std::chrono::seconds(1);
+// Hosts and upstreams are a few milliseconds away.
+constexpr core::Duration kConnectTime = std::chrono::milliseconds(400);
 constexpr uint64_t kMaxAnswerBytes = 256ULL * 1024 * 1024;
 constexpr size_t kPartBytes = 16 * 1024;
 // A peer that vanished without a reset is noticed after about three seconds.
