--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -20,8 +20,8 @@
   /// How long results are gathered before they are stored together.
   core::Duration m_gather = std::chrono::milliseconds(200);
   /// Time between checkpoints, and the events of a text that are worth one.
-  core::Duration m_checkpointInterval = std::chrono::milliseconds(1200);
-  uint64_t m_checkpointEvents = 25;
+  core::Duration m_checkpointInterval = std::chrono::milliseconds(900);
+  uint64_t m_checkpointEvents = 20;
   /// Before that only long texts start.
   core::Instant m_shortFrom{};
 };
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -19,7 +19,7 @@
 // Longer than a change of weights holds a stream up.
 constexpr core::Duration kProgressTime = std::chrono::milliseconds(1800);
 // How often a run tells what it has brought.
-constexpr core::Duration kTellInterval = std::chrono::seconds(1);
+constexpr core::Duration kTellInterval = std::chrono::milliseconds(500);
 // An engine refuses while it loads weights, or for want of a free place.
 constexpr core::Duration kRefusalTime = std::chrono::milliseconds(150);
 
