--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -1,8 +1,8 @@
 #include "batches/batchrun.h"
 
 #include <algorithm>
-#include <functional>
 
+#include "batches/decisions/itemstate.h"
 #include "core/overloaded.h"
 
 namespace heatherdeal::batches {
@@ -15,9 +15,6 @@
 constexpr core::Duration kAfterFailure = std::chrono::milliseconds(100);
 constexpr core::Duration kAfterOutdated = std::chrono::milliseconds(100);
 constexpr core::Duration kAfterNoScore = std::chrono::milliseconds(150);
-// A value of the object store holds a megabyte, encoding included.
-constexpr size_t kMaxChunkBytes = 400 * 1024;
-constexpr size_t kMaxChunkResults = 256;
 
 void
 AddVersions(std::vector<core::WeightVersion>& aInto,
@@ -30,15 +27,6 @@
   }
 }
 
-void
-StartOver(ItemState& aItem)
-{
-  aItem.m_text.clear();
-  aItem.m_events = 0;
-  aItem.m_savedEvents = 0;
-  aItem.m_versions.clear();
-}
-
 void
 Decide(BatchRun& aRun,
        size_t aItem,
@@ -79,18 +67,6 @@
   AddVersions(aItem.m_versions, aReport.m_versions);
 }
 
-bool
-VersionsFit(const BatchRun& aRun, const ItemState& aItem)
-{
-  const bool mixed =
-    aRun.m_policy.m_singleVersion && aItem.m_versions.size() > 1;
-  const bool old =
-    std::ranges::any_of(aItem.m_versions, [&](core::WeightVersion aVersion) {
-      return aVersion < aRun.m_submission->m_oldest;
-    });
-  return !mixed && !old;
-}
-
 void
 Retry(ItemState& aItem, core::Instant aFrom)
 {
@@ -157,12 +133,6 @@
   Retry(item, aNow + kAfterOutdated);
 }
 
-bool
-IsDone(const ItemState& aItem)
-{
-  return std::holds_alternative<ItemDone>(aItem.m_phase);
-}
-
 /// The longest texts first: a step ends with its last ones.
 std::vector<size_t>
 OrderOf(const Submission& aSubmission)
@@ -207,50 +177,6 @@
   return StartsFrom(aRun, aItem) <= aNow;
 }
 
-size_t
-CountIf(const BatchRun& aRun, const std::function<bool(size_t)>& aIsThere)
-{
-  return static_cast<size_t>(
-    std::ranges::count_if(aRun.m_groups, [&](const auto& aGroup) {
-      return std::ranges::all_of(aGroup.second, aIsThere);
-    }));
-}
-
-/// True when the results that wait make up the groups that the trainer wants.
-bool
-CompletesStep(const BatchRun& aRun)
-{
-  const size_t wanted = aRun.m_submission->m_wantedGroups;
-  if (wanted == 0) {
-    return false;
-  }
-  std::set<std::string_view> waiting;
-  for (const ItemResult& result : aRun.m_ready) {
-    waiting.insert(result.m_item.m_value);
-  }
-  const auto isDecided = [&](size_t aItem) {
-    return IsDone(aRun.m_items[aItem]);
-  };
-  const auto isListed = [&](size_t aItem) {
-    const std::string& id = aRun.m_submission->m_items[aItem].m_id.m_value;
-    return isDecided(aItem) && !waiting.contains(id);
-  };
-  return CountIf(aRun, isDecided) >= wanted && CountIf(aRun, isListed) < wanted;
-}
-
-size_t
-SizeOf(const ItemResult& aResult)
-{
-  const auto* completed = std::get_if<Completed>(&aResult.m_outcome);
-  return completed == nullptr ? 0 : completed->m_text.size();
-}
-
-bool
-AllDecided(const BatchRun& aRun)
-{
-  return std::ranges::all_of(aRun.m_items, IsDone);
-}
-
 } // namespace
 
 BatchRun
@@ -269,19 +195,6 @@
   return run;
 }
 
-void
-AdoptChunk(BatchRun& aRun, ResultChunk aChunk)
-{
-  for (ItemResult& result : aChunk.m_results) {
-    const auto index = aRun.m_indexes.find(result.m_item.m_value);
-    if (index != aRun.m_indexes.end()) {
-      aRun.m_items[index->second].m_phase = ItemDone{};
-    }
-    aRun.m_listed.push_back(std::move(result));
-  }
-  aRun.m_nextChunk = aChunk.m_number + 1;
-}
-
 bool
 IsLong(const BatchRun& aRun, size_t aItem)
 {
@@ -418,157 +331,12 @@
   }
 }
 
-std::optional<ResultChunk>
-NextChunk(BatchRun& aRun, core::Instant aNow)
-{
-  if (aRun.m_writing || aRun.m_ready.empty() || aRun.m_ended) {
-    return std::nullopt;
-  }
-  const bool due =
-    aRun.m_storeFrom <= aNow || AllDecided(aRun) || CompletesStep(aRun);
-  if (!due) {
-    return std::nullopt;
-  }
-  ResultChunk chunk;
-  chunk.m_number = aRun.m_nextChunk;
-  size_t bytes = 0;
-  size_t count = 0;
-  for (const ItemResult& result : aRun.m_ready) {
-    bytes += SizeOf(result);
-    if (count > 0 && (bytes > kMaxChunkBytes || count >= kMaxChunkResults)) {
-      break;
-    }
-    count += 1;
-  }
-  const auto end = aRun.m_ready.begin() + static_cast<std::ptrdiff_t>(count);
-  chunk.m_results.assign(aRun.m_ready.begin(), end);
-  aRun.m_ready.erase(aRun.m_ready.begin(), end);
-  aRun.m_storeFrom = aNow + aRun.m_policy.m_gather;
-  aRun.m_writing = chunk;
-  return chunk;
-}
-
-void
-ChunkStored(BatchRun& aRun)
-{
-  if (!aRun.m_writing) {
-    return;
-  }
-  ResultChunk chunk = *std::move(aRun.m_writing);
-  aRun.m_writing.reset();
-  AdoptChunk(aRun, std::move(chunk));
-}
-
-void
-ChunkTaken(BatchRun& aRun, ResultChunk aFound, core::Instant aNow)
-{
-  if (!aRun.m_writing) {
-    return;
-  }
-  ResultChunk own = *std::move(aRun.m_writing);
-  aRun.m_writing.reset();
-  // The other owner's results hold; ours are kept for items that it has not
-  // listed.
-  std::set<std::string, std::less<>> found;
-  for (const ItemResult& result : aFound.m_results) {
-    found.insert(result.m_item.m_value);
-  }
-  AdoptChunk(aRun, std::move(aFound));
-  aRun.m_ready.insert(
-    aRun.m_ready.begin(), own.m_results.begin(), own.m_results.end());
-  std::erase_if(aRun.m_ready, [&found](const ItemResult& aResult) {
-    return found.contains(aResult.m_item.m_value);
-  });
-  aRun.m_storeFrom = aNow;
-}
-
-std::optional<Checkpoint>
-NextCheckpoint(BatchRun& aRun, core::Instant aNow)
-{
-  const bool useless = aRun.m_ended || aRun.m_policy.m_singleVersion;
-  if (useless || aNow < aRun.m_checkpointFrom) {
-    return std::nullopt;
-  }
-  const uint64_t enough = aRun.m_policy.m_checkpointEvents;
-  const bool due = std::ranges::any_of(aRun.m_items, [&](const auto& aItem) {
-    return !IsDone(aItem) && aItem.m_events >= aItem.m_savedEvents + enough;
-  });
-  if (!due) {
-    return std::nullopt;
-  }
-  Checkpoint checkpoint;
-  for (size_t i = 0; i < aRun.m_items.size(); ++i) {
-    const ItemState& item = aRun.m_items[i];
-    if (!IsDone(item) && item.m_events >= enough) {
-      checkpoint.m_texts.push_back({ aRun.m_submission->m_items[i].m_id,
-                                     item.m_text,
-                                     item.m_events,
-                                     item.m_versions });
-    }
-  }
-  aRun.m_checkpointFrom = core::Instant::max();
-  return checkpoint;
-}
-
-void
-CheckpointWritten(BatchRun& aRun,
-                  const Checkpoint& aCheckpoint,
-                  bool aStored,
-                  core::Instant aNow)
-{
-  aRun.m_checkpointFrom = aNow + aRun.m_policy.m_checkpointInterval;
-  if (!aStored) {
-    return;
-  }
-  for (const PartialText& text : aCheckpoint.m_texts) {
-    const auto index = aRun.m_indexes.find(text.m_item.m_value);
-    if (index != aRun.m_indexes.end()) {
-      aRun.m_items[index->second].m_savedEvents = text.m_lastEvent;
-    }
-  }
-}
-
-size_t
-AdoptCheckpoint(BatchRun& aRun, Checkpoint aCheckpoint)
-{
-  if (aRun.m_policy.m_singleVersion) {
-    return 0;
-  }
-  size_t adopted = 0;
-  for (PartialText& text : aCheckpoint.m_texts) {
-    const auto index = aRun.m_indexes.find(text.m_item.m_value);
-    if (index == aRun.m_indexes.end()) {
-      continue;
-    }
-    ItemState& item = aRun.m_items[index->second];
-    if (!std::holds_alternative<ItemWaiting>(item.m_phase)) {
-      continue;
-    }
-    item.m_text = std::move(text.m_text);
-    item.m_events = text.m_lastEvent;
-    item.m_versions = std::move(text.m_versions);
-    item.m_savedEvents = item.m_events;
-    if (!VersionsFit(aRun, item)) {
-      StartOver(item);
-      continue;
-    }
-    adopted += 1;
-  }
-  return adopted;
-}
-
 void
 EndBatch(BatchRun& aRun)
 {
   aRun.m_ended = true;
 }
 
-bool
-IsComplete(const BatchRun& aRun)
-{
-  return aRun.m_listed.size() >= aRun.m_items.size();
-}
-
 core::Instant
 NextDeadline(const BatchRun& aRun, core::Instant aNow)
 {
--- /dev/null
+++ b/src/batches/decisions/itemstate.cpp
@@ -0,0 +1,34 @@
+#include "batches/decisions/itemstate.h"
+
+#include <algorithm>
+
+namespace heatherdeal::batches {
+
+bool
+IsDone(const ItemState& aItem)
+{
+  return std::holds_alternative<ItemDone>(aItem.m_phase);
+}
+
+void
+StartOver(ItemState& aItem)
+{
+  aItem.m_text.clear();
+  aItem.m_events = 0;
+  aItem.m_savedEvents = 0;
+  aItem.m_versions.clear();
+}
+
+bool
+VersionsFit(const BatchRun& aRun, const ItemState& aItem)
+{
+  const bool mixed =
+    aRun.m_policy.m_singleVersion && aItem.m_versions.size() > 1;
+  const bool old =
+    std::ranges::any_of(aItem.m_versions, [&](core::WeightVersion aVersion) {
+      return aVersion < aRun.m_submission->m_oldest;
+    });
+  return !mixed && !old;
+}
+
+} // namespace heatherdeal::batches
