An unreadable conflict is never taken for the write's own success

Found on reading the change: since both encodings share the check of the write token, a 409 whose body cannot be read compared an empty token with the write's. A write without a token would have passed for done, at version 0. Every write of ours has a token, so nothing is known to have met it. The new check in codectest.cpp failed before.

--- a/src/objectstore/internal/owncodec.cpp
+++ b/src/objectstore/internal/owncodec.cpp
@@ -228,8 +228,9 @@
 absl::StatusOr<uint64_t>
 VersionAfterConflict(const WriteRequest& aWrite, const StoredObject& aFound)
 {
-  // The conflict may be with this very write, whose reply was lost.
-  if (aFound.m_writeToken == aWrite.m_token) {
+  // The conflict may be with this very write, whose reply was lost. What could
+  // not be read names no write.
+  if (!aFound.m_writeToken.empty() && aFound.m_writeToken == aWrite.m_token) {
     return aFound.m_version;
   }
   return core::ToStatus(
