Clean-up after reading the change once more

A checkpoint that cannot be read from the store is logged, as one that cannot be parsed already was. IsEnded and RouteOf stand once in place of three and two copies; ReadAs takes the freshness, so that the lease has one call and no second method is needed; the groups are counted before the set of waiting results is built; hosts that are gone leave no entry in Reach.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -176,7 +176,8 @@
                  const absl::StatusOr<objectstore::StoredObject>& aObject);
   void LoadCheckpoint(const OwnedPtr& aOwned);
   void LoadCheckpointVersion(const OwnedPtr& aOwned);
-  void AdoptTexts(const OwnedPtr& aOwned, std::string_view aValue);
+  void TakeCheckpoint(const OwnedPtr& aOwned,
+                      const absl::StatusOr<objectstore::StoredObject>& aRead);
   /// Runs a task again after a failure of the store.
   void Later(std::function<void()> aTask);
   void Activate(const OwnedPtr& aOwned,
@@ -197,8 +198,6 @@
   void StartItems();
   void PlanMoves();
   void MoveItems();
-  const configuration::Route* RouteOf(const configuration::Document& aDocument,
-                                      const BatchRun& aRun) const;
   std::shared_ptr<const routing::Pool> PoolFor(
     const configuration::Route* aRoute,
     const BatchRun& aRun) const;
@@ -220,6 +219,7 @@
   void AnswerWaiters(OwnedBatch& aOwned);
   BatchPolicy PolicyOf(const Submission& aSubmission) const;
   bool IsOwned(const OwnedPtr& aOwned) const;
+  bool IsEnded(std::string_view aBatch) const;
 
   kernel::Context& m_context;
   BatchesSettings m_settings;
--- a/src/batches/decisions/reach.cpp
+++ b/src/batches/decisions/reach.cpp
@@ -21,6 +21,9 @@
             core::Duration aTook,
             core::Instant aNow)
 {
+  // Hosts that are gone for good leave no entry behind.
+  std::erase_if(aReach.m_restsUntil,
+                [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
   if (IsSilence(aTook)) {
     aReach.m_restsUntil.insert_or_assign(std::string(aHost), aNow + kRest);
   }
--- a/src/batches/decisions/results.cpp
+++ b/src/batches/decisions/results.cpp
@@ -27,21 +27,21 @@
 CompletesStep(const BatchRun& aRun)
 {
   const size_t wanted = aRun.m_submission->m_wantedGroups;
-  if (wanted == 0) {
+  const auto isDecided = [&](size_t aItem) {
+    return IsDone(aRun.m_items[aItem]);
+  };
+  if (wanted == 0 || CountIf(aRun, isDecided) < wanted) {
     return false;
   }
   std::set<std::string_view> waiting;
   for (const ItemResult& result : aRun.m_ready) {
     waiting.insert(result.m_item.m_value);
   }
-  const auto isDecided = [&](size_t aItem) {
-    return IsDone(aRun.m_items[aItem]);
-  };
   const auto isListed = [&](size_t aItem) {
     const std::string& id = aRun.m_submission->m_items[aItem].m_id.m_value;
     return isDecided(aItem) && !waiting.contains(id);
   };
-  return CountIf(aRun, isDecided) >= wanted && CountIf(aRun, isListed) < wanted;
+  return CountIf(aRun, isListed) < wanted;
 }
 
 size_t
--- a/src/batches/internal/checkpoints.cpp
+++ b/src/batches/internal/checkpoints.cpp
@@ -53,8 +53,7 @@
 void
 Batches::LoadCheckpoint(const OwnedPtr& aOwned)
 {
-  const auto placement = m_placements.find(aOwned->m_id.m_value);
-  if (placement != m_placements.end() && placement->second.m_ended) {
+  if (IsEnded(aOwned->m_id.m_value)) {
     Activate(aOwned, aOwned->m_run.m_submission);
     return;
   }
@@ -65,20 +64,25 @@
                   if (!self->IsOwned(aOwned)) {
                     return;
                   }
-                  if (aRead.ok() && aRead->m_version > 0) {
-                    aOwned->m_checkpointVersion = aRead->m_version;
-                    self->AdoptTexts(aOwned, aRead->m_value);
-                  }
                   // Without a checkpoint the texts are generated from the
                   // start.
+                  self->TakeCheckpoint(aOwned, aRead);
                   self->Activate(aOwned, aOwned->m_run.m_submission);
                 });
 }
 
 void
-Batches::AdoptTexts(const OwnedPtr& aOwned, std::string_view aValue)
+Batches::TakeCheckpoint(const OwnedPtr& aOwned,
+                        const absl::StatusOr<objectstore::StoredObject>& aRead)
 {
-  absl::StatusOr<Checkpoint> checkpoint = ParseCheckpoint(aValue);
+  if (aRead.ok() && aRead->m_version == 0) {
+    return;
+  }
+  absl::StatusOr<Checkpoint> checkpoint =
+    aRead.ok() ? ParseCheckpoint(aRead->m_value) : aRead.status();
+  if (aRead.ok()) {
+    aOwned->m_checkpointVersion = aRead->m_version;
+  }
   if (!checkpoint.ok()) {
     kernel::LogEvent(
       kernel::LogLevel::Warning,
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -75,7 +75,8 @@
     return;
   }
   // A chunk never changes: one that is found may have been found late.
-  m_store->ReadLagging(
+  m_store->ReadAs(
+    objectstore::Freshness::MayLag,
     { std::string(kResultsKind), ChunkName(aOwned->m_id.m_value, aNumber) },
     objectstore::CallPriority::Configuration,
     [self = shared_from_this(), aOwned, aNumber](
@@ -132,8 +133,7 @@
 {
   aOwned->m_loaded = true;
   aOwned->m_run.m_policy.m_shortFrom = kernel::Now() + kHeadStart;
-  const auto placement = m_placements.find(aOwned->m_id.m_value);
-  if (placement != m_placements.end() && placement->second.m_ended) {
+  if (IsEnded(aOwned->m_id.m_value)) {
     EndBatch(aOwned->m_run);
   }
   kernel::LogEvent(kernel::LogLevel::Info,
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -285,14 +285,19 @@
   step();
 }
 
+bool
+Batches::IsEnded(std::string_view aBatch) const
+{
+  const auto placement = m_placements.find(aBatch);
+  return placement != m_placements.end() && placement->second.m_ended;
+}
+
 bool
 Batches::HasOpenBatches() const
 {
   for (const auto& [id, owned] : m_owned) {
-    const auto placement = m_placements.find(id);
-    const bool ended =
-      placement != m_placements.end() && placement->second.m_ended;
-    const bool open = !ended && (!owned->m_loaded || !IsComplete(owned->m_run));
+    const bool open =
+      !IsEnded(id) && (!owned->m_loaded || !IsComplete(owned->m_run));
     if (open) {
       return true;
     }
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -24,6 +24,13 @@
 // Engines that were left alone may take items again.
 constexpr core::Duration kEngineRetry = std::chrono::milliseconds(50);
 
+const configuration::Route*
+RouteOf(const configuration::Document& aDocument, const Submission& aSubmission)
+{
+  return configuration::FindRoute(
+    aDocument, aSubmission.m_host, aSubmission.m_path);
+}
+
 http::Request
 RequestOf(const Submission& aSubmission, const BatchItem& aItem)
 {
@@ -64,8 +71,7 @@
   BatchPolicy policy;
   core::Duration giveUp = kDefaultGiveUp;
   const auto document = m_configuration->Read();
-  const configuration::Route* route =
-    configuration::FindRoute(*document, aSubmission.m_host, aSubmission.m_path);
+  const configuration::Route* route = RouteOf(*document, aSubmission);
   if (route != nullptr) {
     policy.m_attempts = route->m_attempts;
     if (const auto* kind =
@@ -152,7 +158,7 @@
 {
   BatchRun& run = aOwned->m_run;
   const auto document = m_configuration->Read();
-  const configuration::Route* route = RouteOf(*document, run);
+  const configuration::Route* route = RouteOf(*document, *run.m_submission);
   for (;;) {
     const std::optional<size_t> item = NextToRun(run, kernel::Now());
     const auto pool = item ? PoolFor(route, run) : nullptr;
@@ -187,14 +193,6 @@
   aView.m_engines[*engine].m_usable = false;
 }
 
-const configuration::Route*
-Batches::RouteOf(const configuration::Document& aDocument,
-                 const BatchRun& aRun) const
-{
-  return configuration::FindRoute(
-    aDocument, aRun.m_submission->m_host, aRun.m_submission->m_path);
-}
-
 std::shared_ptr<const routing::Pool>
 Batches::PoolFor(const configuration::Route* aRoute, const BatchRun& aRun) const
 {
@@ -213,8 +211,9 @@
   for (const auto& [id, owned] : m_owned) {
     const bool idle = !owned->m_loaded || owned->m_run.m_ended ||
                       NextToRun(owned->m_run, kernel::Now()).has_value();
+    const BatchRun& run = owned->m_run;
     const auto pool =
-      idle ? nullptr : PoolFor(RouteOf(*document, owned->m_run), owned->m_run);
+      idle ? nullptr : PoolFor(RouteOf(*document, *run.m_submission), run);
     if (!pool) {
       continue;
     }
--- a/src/lease/internal/leaseclient.cpp
+++ b/src/lease/internal/leaseclient.cpp
@@ -49,26 +49,26 @@
 void
 LeaseClient::Run(const ReadRecord& aEffect)
 {
-  const auto take = [self = shared_from_this()](
-                      absl::StatusOr<objectstore::StoredObject> aObject) {
-    if (!aObject.ok()) {
-      self->Feed(ReadFailed{ http::FailureOf(aObject.status()) });
-      return;
-    }
-    const absl::StatusOr<LeaseRecord> record = ParseRecord(*aObject);
-    if (!record.ok()) {
-      kernel::LogFailure(
-        kernel::LogLevel::Error, "lease", http::FailureOf(record.status()));
-      self->Feed(ReadFailed{ http::FailureOf(record.status()) });
-      return;
-    }
-    self->Feed(RecordSeen{ *record });
-  };
-  if (aEffect.m_latest) {
-    m_store->Read(m_key, objectstore::CallPriority::Lease, take);
-  } else {
-    m_store->ReadLagging(m_key, objectstore::CallPriority::Lease, take);
-  }
+  using objectstore::Freshness;
+  m_store->ReadAs(
+    aEffect.m_latest ? Freshness::Latest : Freshness::MayLag,
+    m_key,
+    objectstore::CallPriority::Lease,
+    [self =
+       shared_from_this()](absl::StatusOr<objectstore::StoredObject> aObject) {
+      if (!aObject.ok()) {
+        self->Feed(ReadFailed{ http::FailureOf(aObject.status()) });
+        return;
+      }
+      const absl::StatusOr<LeaseRecord> record = ParseRecord(*aObject);
+      if (!record.ok()) {
+        kernel::LogFailure(
+          kernel::LogLevel::Error, "lease", http::FailureOf(record.status()));
+        self->Feed(ReadFailed{ http::FailureOf(record.status()) });
+        return;
+      }
+      self->Feed(RecordSeen{ *record });
+    });
 }
 
 void
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -153,14 +153,6 @@
   ReadAs(Freshness::Latest, std::move(aKey), aPriority, std::move(aDone));
 }
 
-void
-ObjectStore::ReadLagging(ObjectKey aKey,
-                         CallPriority aPriority,
-                         ReadCallback aDone)
-{
-  ReadAs(Freshness::MayLag, std::move(aKey), aPriority, std::move(aDone));
-}
-
 void
 ObjectStore::ReadAs(Freshness aFreshness,
                     ObjectKey aKey,
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -55,8 +55,11 @@
 
   /// An object that is not there is returned with version 0.
   void Read(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone);
-  /// The same for less, and what it returns may be seconds old.
-  void ReadLagging(ObjectKey aKey, CallPriority aPriority, ReadCallback aDone);
+  /// The same; an answer that may lag costs the store less.
+  void ReadAs(Freshness aFreshness,
+              ObjectKey aKey,
+              CallPriority aPriority,
+              ReadCallback aDone);
 
   /// Writes if the object still has aIfVersion (0: does not exist). A reply
   /// lost after the write took effect is found out by reading back: the
@@ -100,10 +103,6 @@
   void SubscribeMissed(MissedCallback aMissed);
 
 private:
-  void ReadAs(Freshness aFreshness,
-              ObjectKey aKey,
-              CallPriority aPriority,
-              ReadCallback aDone);
   std::shared_ptr<KindWatch> FindWatch(std::string_view aKind) const;
   void AnnounceMissed(std::string_view aKind, uint64_t aRevision);
   void StartWatch(std::string aKind,
