Order unfenced engines one lease duration after the predecessor, not 6 s after each grant

A holder ordered them only 6 s (the order timeout) after its own grant, whoever held the lease before. Besides, an order that met an expired lease was dropped but stayed pending for 6 s, and an unanswered order or report blocked a load for 6 s.

Change: the lease tells when another host may last have acted (never, for a host that finds its own established record; when the release was read; the observed expiry), and engines wait one lease duration from then. Orders are held, not dropped, while the lease is expired, and go on when it is extended. An order carries its permission to the traffic thread, which checks it right before sending; the HTTP client sends nothing after its deadline. Unanswered orders are looked up in the engine's report after 1 s. Weight sets that are added or removed redistribute the engines. The log and two gauges tell why engines stay behind.

Ruled out: the target version and the engine list were known to each new holder (dump, log); it had just to wait.

The case of a new holder that waits now names the predecessor's last action instead of the grant; its bound is the same.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -172,6 +172,11 @@
                        const Request& aRequest,
                        core::Instant aDeadline)
 {
+  // The process may have been paused since the caller checked the time.
+  if (kernel::Now() >= aDeadline) {
+    co_return core::ToStatus(
+      core::DeadlineExceeded{ ToText(aConnection.m_peer), core::Executed::No });
+  }
   auto message = ToBeastRequest(aRequest, aConnection.m_peer);
   boost::system::error_code error;
   aConnection.m_stream.expires_at(kernel::ToSteady(aDeadline));
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -25,6 +25,14 @@
   }
 };
 
+/// A value that goes up and down. Any thread may set it.
+struct Gauge
+{
+  std::atomic<int64_t> m_value{ 0 };
+
+  void Set(int64_t aValue) { m_value.store(aValue, std::memory_order_relaxed); }
+};
+
 /// A latency histogram whose bucket bounds double. Any thread may add to it.
 class LatencyHistogram
 {
@@ -54,7 +62,8 @@
   uint64_t m_value = 0;
 };
 
-/// The counters and latency histograms of a process, by name. Thread-safe.
+/// The counters, gauges and latency histograms of a process, by name.
+/// Thread-safe.
 class Counters
 {
 public:
@@ -62,23 +71,30 @@
   /// reference is valid as long as this object.
   Counter& Get(std::string_view aName);
 
+  /// Returns the gauge of this name and creates it on first use. The reference
+  /// is valid as long as this object.
+  Gauge& GaugeOf(std::string_view aName);
+
   /// Returns the histogram of this name and creates it on first use. The
   /// reference is valid as long as this object.
   LatencyHistogram& Latency(std::string_view aName);
 
   /// Returns the values of all counters, sorted by name.
   std::vector<CounterReading> Read() const;
+  /// Returns the gauges in the Prometheus text format.
+  std::string GaugesToPrometheusText() const;
   /// Returns the histograms in the Prometheus text format.
   std::string LatenciesToPrometheusText() const;
 
 private:
   mutable std::mutex m_mutex;
   std::map<std::string, std::unique_ptr<Counter>, std::less<>> m_counters;
+  std::map<std::string, std::unique_ptr<Gauge>, std::less<>> m_gauges;
   std::map<std::string, std::unique_ptr<LatencyHistogram>, std::less<>>
     m_histograms;
 };
 
-/// Returns the counters and histograms in the Prometheus text format.
+/// Returns all metrics in the Prometheus text format.
 std::string
 ToPrometheusText(const Counters& aCounters);
 
--- a/src/kernel/internal/counters.cpp
+++ b/src/kernel/internal/counters.cpp
@@ -77,6 +77,32 @@
   return *inserted.first->second;
 }
 
+Gauge&
+Counters::GaugeOf(std::string_view aName)
+{
+  const std::scoped_lock lock(m_mutex);
+  const auto found = m_gauges.find(aName);
+  if (found != m_gauges.end()) {
+    return *found->second;
+  }
+  const auto inserted =
+    m_gauges.emplace(std::string(aName), std::make_unique<Gauge>());
+  return *inserted.first->second;
+}
+
+std::string
+Counters::GaugesToPrometheusText() const
+{
+  const std::scoped_lock lock(m_mutex);
+  std::string text;
+  for (const auto& [name, gauge] : m_gauges) {
+    const std::string metric = ToMetricName(name, "");
+    text += "# TYPE " + metric + " gauge\n";
+    text += metric + " " + std::to_string(gauge->m_value.load()) + "\n";
+  }
+  return text;
+}
+
 std::string
 Counters::LatenciesToPrometheusText() const
 {
@@ -123,6 +149,7 @@
     text += "# TYPE " + name + " counter\n";
     text += name + " " + std::to_string(reading.m_value) + "\n";
   }
+  text += aCounters.GaugesToPrometheusText();
   return text + aCounters.LatenciesToPrometheusText();
 }
 
--- a/src/lease/decisions/lease.cpp
+++ b/src/lease/decisions/lease.cpp
@@ -56,8 +56,29 @@
                             : std::min(aRole.m_renewAt, aRole.m_actUntil);
 }
 
+/// Returns the latest time at which another host may have acted under the
+/// lease, or nothing if no recent holder has to be considered.
+std::optional<core::Instant>
+PredecessorActedUntil(const LeaseState& aState,
+                      const Following& aRole,
+                      const LeaseRecord& aCurrent,
+                      core::Instant aNow)
+{
+  const bool isOwn = aCurrent.m_holder == aState.m_self;
+  if (aCurrent.m_version == 0 || (isOwn && aCurrent.m_established)) {
+    return std::nullopt;
+  }
+  if (isOwn || aCurrent.m_released) {
+    return aNow;
+  }
+  // The holder counts from before it sent its last renewal, which this host
+  // read later.
+  return aRole.m_expiresAt - aState.m_policy.m_safetyMargin;
+}
+
 void
 StartAcquiring(LeaseState& aState,
+               const Following& aRole,
                const LeaseRecord& aCurrent,
                core::Instant aNow,
                Effects& aEffects)
@@ -67,17 +88,23 @@
                          aState.m_self,
                          aCurrent.m_epoch + 1 };
   acquiring.m_sentAt = aNow;
+  acquiring.m_predecessorActedUntil =
+    PredecessorActedUntil(aState, aRole, aCurrent, aNow);
   aEffects.push_back(WriteRecord{ aCurrent.m_version, acquiring.m_record });
   aState.m_role = std::move(acquiring);
   aState.m_nextDeadline = aNow + aState.m_policy.m_duration;
 }
 
 void
-BecomeHolder(LeaseState& aState, LeaseRecord aRecord, core::Instant aSentAt)
+BecomeHolder(LeaseState& aState,
+             LeaseRecord aRecord,
+             core::Instant aSentAt,
+             core::Instant aAcquiredAt)
 {
   const LeasePolicy& policy = aState.m_policy;
   Holding holding;
   holding.m_record = std::move(aRecord);
+  holding.m_acquiredAt = aAcquiredAt;
   // Counted from before the write was sent. The other hosts count from when
   // they read the record, which is later.
   holding.m_actUntil = aSentAt + policy.m_duration - policy.m_safetyMargin;
@@ -108,7 +135,7 @@
     return;
   }
   if (isAvailable) {
-    StartAcquiring(aState, aRecord, aNow, aEffects);
+    StartAcquiring(aState, aRole, aRecord, aNow, aEffects);
     return;
   }
   if (!isUnchanged) {
@@ -175,9 +202,12 @@
   LeaseRecord record = aRole.m_record;
   record.m_version = aVersion;
   const uint64_t epoch = record.m_epoch;
-  BecomeHolder(aState, std::move(record), aRole.m_sentAt);
+  const std::optional<core::Instant> predecessorActedUntil =
+    aRole.m_predecessorActedUntil;
+  BecomeHolder(aState, std::move(record), aRole.m_sentAt, aNow);
   if (IsLeaseValid(aState, aNow)) {
-    aEffects.push_back(LeaseGranted{ epoch });
+    const core::Instant actUntil = std::get<Holding>(aState.m_role).m_actUntil;
+    aEffects.push_back(LeaseGranted{ epoch, actUntil, predecessorActedUntil });
     return;
   }
   // The response arrived after the lease had already expired.
@@ -197,10 +227,14 @@
   const core::Instant sentAt = *aRole.m_renewalSentAt;
   LeaseRecord record = aRole.m_record;
   record.m_version = aVersion;
-  BecomeHolder(aState, std::move(record), sentAt);
+  const core::Instant acquiredAt = aRole.m_acquiredAt;
+  BecomeHolder(aState, std::move(record), sentAt, acquiredAt);
   if (!IsLeaseValid(aState, aNow) && !ShouldActDuringOutage(aState)) {
     LoseLease(aState, std::nullopt, aNow, aEffects);
+    return;
   }
+  const core::Instant actUntil = std::get<Holding>(aState.m_role).m_actUntil;
+  aEffects.push_back(LeaseExtended{ actUntil });
 }
 
 template<typename Role>
@@ -319,6 +353,8 @@
   }
   if (aRole.m_renewAt <= aNow && !aRole.m_renewalSentAt) {
     aRole.m_renewalSentAt = aNow;
+    aRole.m_record.m_established =
+      aNow >= aRole.m_acquiredAt + aState.m_policy.m_duration;
     aEffects.push_back(WriteRecord{ aRole.m_record.m_version, aRole.m_record });
   }
   ScheduleHolderStep(aState, aRole, aNow);
--- a/src/lease/internal/leaseclient.cpp
+++ b/src/lease/internal/leaseclient.cpp
@@ -95,7 +95,15 @@
                    "lease",
                    "granted",
                    { { "lease", m_key.m_name }, { "epoch", aEffect.m_epoch } });
-  m_callbacks.m_onGranted(aEffect.m_epoch);
+  m_callbacks.m_onGranted(aEffect);
+}
+
+void
+LeaseClient::Execute(const LeaseExtended& aEffect)
+{
+  if (m_callbacks.m_onExtended) {
+    m_callbacks.m_onExtended(aEffect);
+  }
 }
 
 void
--- a/src/lease/internal/leaserecord.cpp
+++ b/src/lease/internal/leaserecord.cpp
@@ -11,7 +11,8 @@
 {
   const boost::json::value value{ { "holder", aRecord.m_holder },
                                   { "epoch", aRecord.m_epoch },
-                                  { "released", aRecord.m_released } };
+                                  { "released", aRecord.m_released },
+                                  { "established", aRecord.m_established } };
   return boost::json::serialize(value);
 }
 
@@ -29,6 +30,7 @@
       record.m_epoch =
         static_cast<uint64_t>(aReader.Integer("epoch", { 0, INT64_MAX }));
       record.m_released = aReader.FlagOr("released", false);
+      record.m_established = aReader.FlagOr("established", false);
       return record;
     });
 }
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -48,6 +48,9 @@
   /// holder's orders.
   uint64_t m_epoch = 0;
   bool m_released = false;
+  /// True once the holder has held the lease for longer than its duration.
+  /// Actions of earlier holders are then too old to matter.
+  bool m_established = false;
 };
 
 /// Another host holds the lease, or no host does. This host may acquire it
@@ -64,12 +67,15 @@
 {
   LeaseRecord m_record;
   core::Instant m_sentAt{};
+  /// See LeaseGranted.
+  std::optional<core::Instant> m_predecessorActedUntil;
 };
 
 /// This host holds the lease and may act under it until m_actUntil.
 struct Holding
 {
   LeaseRecord m_record;
+  core::Instant m_acquiredAt{};
   core::Instant m_actUntil{};
   /// When the next renewal is due.
   core::Instant m_renewAt{};
@@ -149,6 +155,17 @@
 struct LeaseGranted
 {
   uint64_t m_epoch = 0;
+  /// This host may act until then, unless the lease is extended.
+  core::Instant m_actUntil{};
+  /// The latest time at which another host may have acted under the lease;
+  /// empty if that is longer ago than the lease duration.
+  std::optional<core::Instant> m_predecessorActedUntil;
+};
+
+/// This host has renewed the lease.
+struct LeaseExtended
+{
+  core::Instant m_actUntil{};
 };
 
 /// This host no longer holds the lease.
@@ -159,7 +176,7 @@
 };
 
 using LeaseEffect =
-  std::variant<ReadRecord, WriteRecord, LeaseGranted, LeaseLost>;
+  std::variant<ReadRecord, WriteRecord, LeaseGranted, LeaseExtended, LeaseLost>;
 
 /// Applies the event to the state and appends the effects that the caller has
 /// to carry out.
--- a/src/lease/leaseclient.h
+++ b/src/lease/leaseclient.h
@@ -10,11 +10,14 @@
 
 namespace heatherdeal::lease {
 
-/// Callbacks that run on the control thread when the lease is granted or lost.
+/// Callbacks that run on the control thread when the lease is granted, extended
+/// or lost.
 struct LeaseCallbacks
 {
-  std::function<void(uint64_t aEpoch)> m_onGranted;
+  std::function<void(const LeaseGranted&)> m_onGranted;
   std::function<void(std::string_view aNewHolder)> m_onLost;
+  /// Optional.
+  std::function<void(const LeaseExtended&)> m_onExtended;
 };
 
 /// Acquires and renews one lease that is kept in the object store. Must be used
@@ -40,6 +43,7 @@
   void Execute(const ReadRecord& aEffect);
   void Execute(const WriteRecord& aEffect);
   void Execute(const LeaseGranted& aEffect);
+  void Execute(const LeaseExtended& aEffect);
   void Execute(const LeaseLost& aEffect);
 
   std::shared_ptr<objectstore::ObjectStore> m_store;
--- a/src/lease/tests/leasepropertytest.cpp
+++ b/src/lease/tests/leasepropertytest.cpp
@@ -119,6 +119,8 @@
     m_grantCount += 1;
   }
 
+  void Execute(const LeaseExtended&) {}
+
   void Execute(const LeaseLost&) {}
 
   EventQueue& m_queue;
--- a/src/rollout/internal/shardowner.cpp
+++ b/src/rollout/internal/shardowner.cpp
@@ -46,8 +46,11 @@
     m_services.m_leasePolicy,
     http::ToText(m_services.m_selfEndpoint),
     lease::LeaseCallbacks{
-      [this](uint64_t aEpoch) { OnLeaseGranted(aEpoch); },
-      [this](std::string_view aNewHolder) { OnLeaseLost(aNewHolder); } });
+      [this](const lease::LeaseGranted& aGrant) {
+        OnLeaseGranted(aGrant.m_epoch);
+      },
+      [this](std::string_view aNewHolder) { OnLeaseLost(aNewHolder); },
+      nullptr });
 }
 
 void
--- a/src/virtualworld/virtualhost.h
+++ b/src/virtualworld/virtualhost.h
@@ -78,6 +78,7 @@
   void PerformEffect(const lease::ReadRecord& aEffect);
   void PerformEffect(const lease::WriteRecord& aEffect);
   void PerformEffect(const lease::LeaseGranted& aEffect);
+  void PerformEffect(const lease::LeaseExtended&) {}
   void PerformEffect(const lease::LeaseLost& aEffect);
 
   /// Applies an event to the owned shard, performs the effects and schedules
--- a/src/weights/decisions/rollingupdate.cpp
+++ b/src/weights/decisions/rollingupdate.cpp
@@ -31,14 +31,25 @@
 EarliestOrderTime(const RollingUpdateState& aState,
                   const EngineProgress& aEngine)
 {
-  if (aEngine.m_facts.m_checksFencingToken) {
+  const bool hasPredecessor = aState.m_predecessorActedUntil.has_value();
+  if (aEngine.m_facts.m_checksFencingToken || !hasPredecessor) {
     return aEngine.m_retryAt;
   }
   return std::max(aEngine.m_retryAt,
-                  aState.m_leaseGrantedAt +
+                  *aState.m_predecessorActedUntil +
                     aState.m_policy.m_unfencedOrderDelay);
 }
 
+/// False if the engine does not check fencing tokens and the lease has expired.
+/// Its orders then have to wait until the lease is extended.
+bool
+IsLeaseSufficient(const RollingUpdateState& aState,
+                  const EngineProgress& aEngine,
+                  core::Instant aNow)
+{
+  return aEngine.m_facts.m_checksFencingToken || aNow < aState.m_actUntil;
+}
+
 bool
 ShouldReceiveOrder(const RollingUpdateState& aState,
                    const EngineProgress& aEngine)
@@ -89,7 +100,9 @@
     if (!ShouldReceiveOrder(aState, engine)) {
       continue;
     }
-    if (EarliestOrderTime(aState, engine) <= aNow) {
+    const bool isReady = EarliestOrderTime(aState, engine) <= aNow &&
+                         IsLeaseSufficient(aState, engine, aNow);
+    if (isReady) {
       readyEngines.push_back(&engine);
     } else {
       aState.m_hasWaitingEngine = true;
@@ -177,15 +190,24 @@
 void
 HandleEvent(RollingUpdateState& aState,
             const LeaseAcquired& aEvent,
-            core::Instant aNow)
+            core::Instant)
 {
   aState.m_epoch = aEvent.m_epoch;
-  aState.m_leaseGrantedAt = aNow;
+  aState.m_actUntil = aEvent.m_actUntil;
+  aState.m_predecessorActedUntil = aEvent.m_predecessorActedUntil;
   for (auto& [id, engine] : aState.m_engines) {
     engine.m_pendingOrder.reset();
   }
 }
 
+void
+HandleEvent(RollingUpdateState& aState,
+            const LeaseExtended& aEvent,
+            core::Instant)
+{
+  aState.m_actUntil = aEvent.m_actUntil;
+}
+
 void
 HandleEvent(RollingUpdateState& aState, const LeaseLost&, core::Instant)
 {
@@ -235,7 +257,7 @@
 }
 
 std::optional<core::Instant>
-NextDeadline(const RollingUpdateState& aState)
+NextDeadline(const RollingUpdateState& aState, core::Instant aNow)
 {
   std::optional<core::Instant> next;
   const auto consider = [&next](core::Instant aDeadline) {
@@ -247,13 +269,39 @@
   for (const auto& [id, engine] : aState.m_engines) {
     if (engine.m_pendingOrder) {
       consider(engine.m_pendingOrder->m_deadline);
-    } else if (canSendOrders && ShouldReceiveOrder(aState, engine)) {
+    } else if (canSendOrders && ShouldReceiveOrder(aState, engine) &&
+               IsLeaseSufficient(aState, engine, aNow)) {
       consider(EarliestOrderTime(aState, engine));
     }
   }
   return next;
 }
 
+OrderDelay
+FindOrderDelay(const RollingUpdateState& aState, core::Instant aNow)
+{
+  OrderDelay delay = OrderDelay::None;
+  for (const auto& [id, engine] : aState.m_engines) {
+    if (engine.m_pendingOrder) {
+      return OrderDelay::None;
+    }
+    if (!ShouldReceiveOrder(aState, engine)) {
+      continue;
+    }
+    if (aState.m_epoch == 0) {
+      return OrderDelay::NoLease;
+    }
+    if (engine.m_retryAt > aNow) {
+      delay = OrderDelay::AwaitingRetry;
+    } else if (EarliestOrderTime(aState, engine) > aNow) {
+      delay = OrderDelay::PredecessorMayAct;
+    } else if (!IsLeaseSufficient(aState, engine, aNow)) {
+      delay = OrderDelay::LeaseExpired;
+    }
+  }
+  return delay;
+}
+
 size_t
 MaxConcurrentLoads(const RollingUpdateState& aState)
 {
--- a/src/weights/internal/weightupdater.cpp
+++ b/src/weights/internal/weightupdater.cpp
@@ -3,10 +3,9 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 
-#include "http/exchange.h"
 #include "kernel/eventlog.h"
 #include "kernel/sleep.h"
-#include "weights/ordercodec.h"
+#include "weights/internal/orderdelivery.h"
 
 namespace heatherdeal::weights {
 
@@ -16,139 +15,22 @@
 
 // All orders are sent from this traffic loop.
 constexpr size_t kOrderLoopIndex = 0;
-// A load takes the better part of a second, and engines report its completion
-// with a delay.
-constexpr core::Duration kFirstPollDelay = std::chrono::milliseconds(950);
-constexpr core::Duration kPollInterval = std::chrono::milliseconds(150);
-
-/// An order to one engine, with its destination and its sender.
-struct OrderTask
-{
-  LoadOrder m_order;
-  core::Endpoint m_engineEndpoint;
-  std::string m_holder;
-  std::string m_weightSet;
-};
-
-asio::awaitable<absl::StatusOr<EngineReport>>
-FetchReport(http::Client& aClient, const OrderTask& aTask)
-{
-  http::Request request = CodecInUse().m_encodeReport(aTask.m_order.m_engine);
-  const absl::StatusOr<http::Response> response =
-    co_await aClient.Call(aTask.m_engineEndpoint,
-                          std::move(request),
-                          http::Reuse::Allowed,
-                          aTask.m_order.m_deadline);
-  if (!response.ok()) {
-    co_return response.status();
-  }
-  co_return CodecInUse().m_decodeReport(aTask.m_weightSet, *response);
-}
-
-asio::awaitable<OrderResponse>
-SendOrder(http::Client& aClient,
-          const OrderTask& aTask,
-          std::optional<uint64_t> aExpectedOrderCount)
-{
-  const OrderOrigin origin{ aTask.m_holder,
-                            aTask.m_weightSet,
-                            aExpectedOrderCount };
-  http::Request request = CodecInUse().m_encodeOrder(aTask.m_order, origin);
-  const absl::StatusOr<http::Response> response =
-    co_await aClient.Call(aTask.m_engineEndpoint,
-                          std::move(request),
-                          http::Reuse::Never,
-                          aTask.m_order.m_deadline);
-  if (!response.ok()) {
-    co_return OrderRefused{ http::FailureOf(response.status()) };
-  }
-  co_return CodecInUse().m_decodeOrder(aTask.m_order, *response);
-}
-
-/// Polls the engine until it reports the version or the order's deadline has
-/// passed. Returns whether the engine reported the version.
-asio::awaitable<bool>
-PollUntilServed(http::Client& aClient, const OrderTask& aTask)
-{
-  core::Instant nextPoll = kernel::Now() + kFirstPollDelay;
-  while (nextPoll < aTask.m_order.m_deadline) {
-    co_await kernel::SleepUntil(nextPoll);
-    const absl::StatusOr<EngineReport> report =
-      co_await FetchReport(aClient, aTask);
-    if (report.ok() && report->m_version >= aTask.m_order.m_version) {
-      co_return true;
-    }
-    nextPoll = kernel::Now() + kPollInterval;
-  }
-  co_return false;
-}
-
-/// Logs the outcome of the order and passes it to the updater on the control
-/// thread.
-void
-PostOutcome(kernel::Context& aContext,
-            std::shared_ptr<WeightUpdater> aUpdater,
-            const OrderTask& aTask,
-            std::optional<core::Failure> aFailure)
+std::string_view
+ToLogText(OrderDelay aDelay)
 {
-  const LoadOrder& order = aTask.m_order;
-  kernel::LogEvent(
-    kernel::LogLevel::Info,
-    "weights",
-    "order",
-    { { "engine", order.m_engine.m_value },
-      { "version", order.m_version.m_number },
-      { "fence", order.m_fence },
-      { "outcome", aFailure ? core::Describe(*aFailure) : "carried-out" } });
-  RollingUpdateEvent event = VersionObserved{ order.m_engine, order.m_version };
-  if (aFailure) {
-    event = OrderFailed{ order.m_engine, order.m_version, *aFailure };
-  }
-  aContext.Control().Post([aUpdater, event, weights = aTask.m_weightSet] {
-    aUpdater->HandleEvent(weights, event);
-  });
-}
-
-/// Sends the order. If engines have to be polled, waits until the order takes
-/// effect.
-asio::awaitable<void>
-DeliverOrder(kernel::Context& aContext,
-             std::shared_ptr<WeightUpdater> aUpdater,
-             OrderTask aTask)
-{
-  http::Client& client =
-    aContext.Get<http::Clients>()->ForLoop(kOrderLoopIndex);
-  const bool mustPoll = CodecInUse().m_encodeReport != nullptr;
-  std::optional<uint64_t> expectedOrderCount;
-  if (mustPoll) {
-    const absl::StatusOr<EngineReport> report =
-      co_await FetchReport(client, aTask);
-    if (!report.ok() || report->m_busy) {
-      const core::Failure failure = core::PeerRefused{
-        aTask.m_order.m_engine.m_value, 0, core::Executed::No
-      };
-      PostOutcome(aContext, aUpdater, aTask, failure);
-      co_return;
-    }
-    if (report->m_version >= aTask.m_order.m_version) {
-      PostOutcome(aContext, aUpdater, aTask, std::nullopt);
-      co_return;
-    }
-    expectedOrderCount = report->m_acceptedOrderCount;
-  }
-  const OrderResponse response =
-    co_await SendOrder(client, aTask, expectedOrderCount);
-  if (const auto* refused = std::get_if<OrderRefused>(&response)) {
-    PostOutcome(aContext, aUpdater, aTask, refused->m_failure);
-    co_return;
-  }
-  if (!mustPoll) {
-    co_return;
-  }
-  const bool alreadyServes = std::holds_alternative<AlreadyServing>(response);
-  if (alreadyServes || co_await PollUntilServed(client, aTask)) {
-    PostOutcome(aContext, aUpdater, aTask, std::nullopt);
+  switch (aDelay) {
+    case OrderDelay::None:
+      return "none";
+    case OrderDelay::NoLease:
+      return "no-lease";
+    case OrderDelay::PredecessorMayAct:
+      return "predecessor-may-act";
+    case OrderDelay::LeaseExpired:
+      return "lease-expired";
+    case OrderDelay::AwaitingRetry:
+      return "awaiting-retry";
   }
+  return "unknown";
 }
 
 } // namespace
@@ -160,7 +42,7 @@
   , m_timer(aContext.Control(), [this] { BroadcastEvent(DeadlineReached{}); })
 {
   m_policy.m_orderTimeout = aSettings.m_orderTimeout;
-  m_policy.m_unfencedOrderDelay = aSettings.m_orderTimeout;
+  m_policy.m_unfencedOrderDelay = aSettings.m_lease.m_duration;
   lease::LeasePolicy leasePolicy = aSettings.m_lease;
   leasePolicy.m_outagePolicy = lease::ActUntilSuperseded{};
   SetService(aService);
@@ -170,8 +52,40 @@
     leasePolicy,
     aContext.Self().m_host,
     lease::LeaseCallbacks{
-      [this](uint64_t aEpoch) { BroadcastEvent(LeaseAcquired{ aEpoch }); },
-      [this](std::string_view) { BroadcastEvent(LeaseLost{}); } });
+      [this](const lease::LeaseGranted& aGrant) { OnLeaseGranted(aGrant); },
+      [this](std::string_view) { OnLeaseLost(); },
+      [this](const lease::LeaseExtended& aExtension) {
+        OnLeaseExtended(aExtension.m_actUntil);
+      } });
+}
+
+void
+WeightUpdater::OnLeaseGranted(const lease::LeaseGranted& aGrant)
+{
+  m_permission = std::make_shared<OrderPermission>(aGrant.m_actUntil);
+  m_grant = LeaseAcquired{ aGrant.m_epoch,
+                           aGrant.m_actUntil,
+                           aGrant.m_predecessorActedUntil };
+  BroadcastEvent(*m_grant);
+  ReportProgress();
+}
+
+void
+WeightUpdater::OnLeaseExtended(core::Instant aActUntil)
+{
+  m_permission->ExtendTo(aActUntil);
+  m_grant->m_actUntil = aActUntil;
+  BroadcastEvent(LeaseExtended{ aActUntil });
+  ReportProgress();
+}
+
+void
+WeightUpdater::OnLeaseLost()
+{
+  m_permission->Revoke();
+  m_grant.reset();
+  BroadcastEvent(LeaseLost{});
+  ReportProgress();
 }
 
 void
@@ -203,8 +117,21 @@
   const auto setCount = static_cast<uint32_t>(weightSets.size());
   m_policy.m_concurrentLoads =
     (engines->m_concurrentLoads + setCount - 1) / setCount;
+  const size_t removedCount = std::erase_if(m_updates, [&](const auto& aEntry) {
+    return std::ranges::find(weightSets, aEntry.first) == weightSets.end();
+  });
+  bool hasChanged = removedCount > 0;
   for (const std::string& name : weightSets) {
+    const bool isNew = m_updates.try_emplace(name).second;
     m_updates[name].m_policy = m_policy;
+    if (isNew && m_grant) {
+      HandleEvent(name, *m_grant);
+    }
+    hasChanged = hasChanged || isNew;
+  }
+  if (hasChanged) {
+    DistributeEngines();
+    ApplyListedVersions();
   }
 }
 
@@ -284,7 +211,8 @@
   }
   std::optional<core::Instant> nextDeadline;
   for (const auto& [name, state] : m_updates) {
-    const std::optional<core::Instant> deadline = NextDeadline(state);
+    const std::optional<core::Instant> deadline =
+      NextDeadline(state, kernel::Now());
     if (deadline && (!nextDeadline || *deadline < *nextDeadline)) {
       nextDeadline = deadline;
     }
@@ -297,27 +225,69 @@
 void
 WeightUpdater::Execute(std::string_view aWeightSet, const LoadOrder& aOrder)
 {
-  // A holder that was paused may have lost its lease in the meantime. Engines
-  // that check fencing tokens refuse its orders, the others depend on this
-  // check.
   const RollingUpdateState& update = m_updates.find(aWeightSet)->second;
-  const bool checksFencingToken =
-    update.m_engines.at(aOrder.m_engine).m_facts.m_checksFencingToken;
-  if (!checksFencingToken &&
-      !lease::IsLeaseValid(m_lease->State(), kernel::Now())) {
-    m_context.Metrics().Get("weights.order_after_lease").Add();
-    return;
-  }
   m_context.Metrics().Get("weights.orders").Add();
+  OrderTask task;
+  task.m_order = aOrder;
+  task.m_engineEndpoint = m_engines.at(aOrder.m_engine).m_endpoint;
+  task.m_holder = m_context.Self().m_host;
+  task.m_weightSet = aWeightSet;
+  task.m_checksFencingToken =
+    update.m_engines.at(aOrder.m_engine).m_facts.m_checksFencingToken;
+  task.m_permission = m_permission;
+  auto done = [self = shared_from_this(), set = std::string(aWeightSet)](
+                const RollingUpdateEvent& aOutcome) {
+    self->m_context.Control().Post(
+      [self, set, aOutcome] { self->HandleEvent(set, aOutcome); });
+  };
   asio::co_spawn(
     m_context.Traffic().Loop(kOrderLoopIndex),
-    DeliverOrder(m_context,
-                 shared_from_this(),
-                 OrderTask{ aOrder,
-                            m_engines.at(aOrder.m_engine).m_endpoint,
-                            m_context.Self().m_host,
-                            std::string(aWeightSet) }),
+    DeliverOrder(m_context.Get<http::Clients>()->ForLoop(kOrderLoopIndex),
+                 std::move(task),
+                 std::move(done)),
     asio::detached);
 }
 
+void
+WeightUpdater::ReportProgress()
+{
+  uint64_t enginesBehind = 0;
+  for (const auto& [name, state] : m_updates) {
+    enginesBehind += state.m_engines.size() - CountEnginesAtTarget(state);
+    ReportOrderDelay(name, state);
+  }
+  const core::Instant now = kernel::Now();
+  if (enginesBehind == 0) {
+    m_behindSince.reset();
+  } else if (!m_behindSince) {
+    m_behindSince = now;
+  }
+  const core::Duration behindFor =
+    m_behindSince ? now - *m_behindSince : core::Duration::zero();
+  kernel::Counters& metrics = m_context.Metrics();
+  metrics.GaugeOf("weights.engines_behind").Set(enginesBehind);
+  metrics.GaugeOf("weights.behind_ms").Set(kernel::Milliseconds(behindFor));
+}
+
+void
+WeightUpdater::ReportOrderDelay(std::string_view aWeightSet,
+                                const RollingUpdateState& aState)
+{
+  const OrderDelay delay = FindOrderDelay(aState, kernel::Now());
+  OrderDelay& logged = m_loggedDelays[std::string(aWeightSet)];
+  if (delay == logged) {
+    return;
+  }
+  logged = delay;
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "weights",
+                   "orders-delayed",
+                   { { "weights", aWeightSet },
+                     { "reason", ToLogText(delay) },
+                     { "epoch", aState.m_epoch },
+                     { "target", aState.m_targetVersion.m_number },
+                     { "engines", aState.m_engines.size() },
+                     { "at_target", CountEnginesAtTarget(aState) } });
+}
+
 } // namespace heatherdeal::weights
--- a/src/weights/internal/weightupdater.h
+++ b/src/weights/internal/weightupdater.h
@@ -9,6 +9,7 @@
 #include "lease/leaseclient.h"
 #include "objectstore/hosts.h"
 #include "weights/assignment.h"
+#include "weights/internal/orderpermission.h"
 #include "weights/rollingupdate.h"
 
 namespace heatherdeal::weights {
@@ -48,7 +49,16 @@
   const RollingUpdates& Updates() const { return m_updates; }
 
 private:
+  void OnLeaseGranted(const lease::LeaseGranted& aGrant);
+  void OnLeaseExtended(core::Instant aActUntil);
+  void OnLeaseLost();
   void Execute(std::string_view aWeightSet, const LoadOrder& aOrder);
+  /// Updates the metrics that tell how far the engines are behind, and logs why
+  /// no orders are sent.
+  void ReportProgress();
+  /// Logs a change of the reason why a weight set's orders are delayed.
+  void ReportOrderDelay(std::string_view aWeightSet,
+                        const RollingUpdateState& aState);
   /// Applies the versions from the host list.
   void ApplyListedVersions();
   /// Distributes the engines among the rolling updates.
@@ -62,6 +72,15 @@
   std::map<core::UpstreamId, objectstore::HostEntry> m_engines;
   Assignment m_assignment;
   std::shared_ptr<lease::LeaseClient> m_lease;
+  /// The lease as it was granted and extended; empty if it is not held.
+  std::optional<LeaseAcquired> m_grant;
+  /// The permission for orders under the current lease; null before the first.
+  std::shared_ptr<OrderPermission> m_permission;
+  /// The reason that was logged last, by weight set.
+  std::map<std::string, OrderDelay, std::less<>> m_loggedDelays;
+  /// Since when an engine has served an older version than the target; empty if
+  /// none does.
+  std::optional<core::Instant> m_behindSince;
   kernel::DeadlineTimer m_timer;
 };
 
--- a/src/weights/rollingupdate.h
+++ b/src/weights/rollingupdate.h
@@ -27,9 +27,9 @@
   core::Duration m_orderTimeout = std::chrono::seconds(8);
   /// Delay before a failed order is retried.
   core::Duration m_retryDelay = std::chrono::milliseconds(500);
-  /// Delay before a new lease holder sends orders to engines that do not check
-  /// fencing tokens. Covers the longest order of the previous holder.
-  core::Duration m_unfencedOrderDelay = std::chrono::seconds(8);
+  /// Minimum time between the last order of the previous lease holder and the
+  /// first order of the new one, for engines that do not check fencing tokens.
+  core::Duration m_unfencedOrderDelay = std::chrono::seconds(6);
 };
 
 /// Properties of an engine from the host list.
@@ -65,7 +65,11 @@
   RollingUpdatePolicy m_policy;
   /// Epoch of the lease, or 0 if this host does not hold it.
   uint64_t m_epoch = 0;
-  core::Instant m_leaseGrantedAt{};
+  /// When the lease expires unless it is extended.
+  core::Instant m_actUntil{};
+  /// The latest time at which the previous holder may have sent an order; empty
+  /// if no recent holder has to be considered.
+  std::optional<core::Instant> m_predecessorActedUntil;
   core::WeightVersion m_targetVersion;
   std::map<core::UpstreamId, EngineProgress> m_engines;
   /// Number of orders sent.
@@ -104,6 +108,13 @@
 struct LeaseAcquired
 {
   uint64_t m_epoch = 0;
+  core::Instant m_actUntil = core::Instant::max();
+  std::optional<core::Instant> m_predecessorActedUntil;
+};
+
+struct LeaseExtended
+{
+  core::Instant m_actUntil{};
 };
 
 struct LeaseLost
@@ -117,6 +128,7 @@
                                         VersionObserved,
                                         OrderFailed,
                                         LeaseAcquired,
+                                        LeaseExtended,
                                         LeaseLost,
                                         DeadlineReached>;
 
@@ -143,7 +155,26 @@
 /// Returns when the next DeadlineReached has to be applied, or nothing if none
 /// is needed.
 std::optional<core::Instant>
-NextDeadline(const RollingUpdateState& aState);
+NextDeadline(const RollingUpdateState& aState, core::Instant aNow);
+
+/// Why no order is sent although engines serve older versions than the target.
+enum class OrderDelay
+{
+  /// Orders are being sent, or none are needed.
+  None,
+  /// Another host may hold the lease.
+  NoLease,
+  /// Orders of the previous holder may still be in flight.
+  PredecessorMayAct,
+  /// The lease has expired and could not be extended.
+  LeaseExpired,
+  /// The last orders have failed, and their retry is not due yet.
+  AwaitingRetry,
+};
+
+/// Returns why no order is pending now.
+OrderDelay
+FindOrderDelay(const RollingUpdateState& aState, core::Instant aNow);
 
 /// Returns how many engines may load at the same time.
 size_t
--- a/src/weights/tests/rollingupdatetest.cpp
+++ b/src/weights/tests/rollingupdatetest.cpp
@@ -97,7 +97,7 @@
 {
   UpdateFixture update(2, 0, 2);
   CHECK(update.ApplyAndCountOrders(TargetAnnounced{ { 2 } }) == 0);
-  CHECK_FALSE(NextDeadline(update.m_state).has_value());
+  CHECK_FALSE(NextDeadline(update.m_state, AtSecond(0)).has_value());
   CHECK(update.ApplyAndCountOrders(LeaseAcquired{ 3 }) == 2);
   const core::Failure fenced = core::FenceRejected{ 3 };
   update.ApplyAndCountOrders(
@@ -113,13 +113,49 @@
   EngineListChanged engineList;
   engineList.m_engines.push_back({ UpdateFixture::EngineId(0), false, false });
   update.ApplyAndCountOrders(engineList);
+  update.m_state.m_policy.m_unfencedOrderDelay = std::chrono::seconds(8);
   update.ApplyAndCountOrders(TargetAnnounced{ { 2 } });
-  CHECK(update.ApplyAndCountOrders(LeaseAcquired{ 2 }, 10) == 0);
-  CHECK(NextDeadline(update.m_state) == AtSecond(18));
+  const LeaseAcquired acquired{ 2, AtSecond(100), AtSecond(10) };
+  CHECK(update.ApplyAndCountOrders(acquired, 10) == 0);
+  CHECK(NextDeadline(update.m_state, AtSecond(10)) == AtSecond(18));
+  CHECK(FindOrderDelay(update.m_state, AtSecond(10)) ==
+        OrderDelay::PredecessorMayAct);
   CHECK(update.ApplyAndCountOrders(DeadlineReached{}, 17) == 0);
   CHECK(update.ApplyAndCountOrders(DeadlineReached{}, 18) == 1);
 }
 
+TEST_CASE("a holder without a recent predecessor orders at once")
+{
+  UpdateFixture update(0, 0, 2);
+  EngineListChanged engineList;
+  engineList.m_engines.push_back({ UpdateFixture::EngineId(0), false, false });
+  update.ApplyAndCountOrders(engineList);
+  update.ApplyAndCountOrders(TargetAnnounced{ { 2 } });
+  const LeaseAcquired acquired{ 2, AtSecond(100), std::nullopt };
+  CHECK(update.ApplyAndCountOrders(acquired, 10) == 1);
+}
+
+TEST_CASE(
+  "engines that ignore fencing tokens get no orders after the lease has "
+  "expired, and get them as soon as it is extended")
+{
+  UpdateFixture update(0, 0, 2);
+  EngineListChanged engineList;
+  engineList.m_engines.push_back({ UpdateFixture::EngineId(0), false, false });
+  engineList.m_engines.push_back({ UpdateFixture::EngineId(1), true, false });
+  update.ApplyAndCountOrders(engineList);
+  update.ApplyAndCountOrders(LeaseAcquired{ 1, AtSecond(5), std::nullopt }, 1);
+  // Only the engine that checks fencing tokens is ordered.
+  CHECK(update.ApplyAndCountOrders(TargetAnnounced{ { 2 } }, 6) == 1);
+  update.ApplyAndCountOrders(
+    VersionObserved{ UpdateFixture::EngineId(1), { 2 } }, 7);
+  CHECK(FindOrderDelay(update.m_state, AtSecond(7)) ==
+        OrderDelay::LeaseExpired);
+  CHECK_FALSE(NextDeadline(update.m_state, AtSecond(7)).has_value());
+  CHECK(update.ApplyAndCountOrders(LeaseExtended{ AtSecond(10) }, 8) == 1);
+  CHECK(FindOrderDelay(update.m_state, AtSecond(8)) == OrderDelay::None);
+}
+
 TEST_CASE("draining engines get no orders")
 {
   UpdateFixture update(0, 0, 2);
--- a/src/weights/weightsmodule.cpp
+++ b/src/weights/weightsmodule.cpp
@@ -44,18 +44,21 @@
 {
   std::shared_ptr<WeightUpdater>& serviceUpdater =
     aPlugin.m_updaters[aService.m_name.m_value];
-  if (serviceUpdater) {
+  const bool isNew = serviceUpdater == nullptr;
+  if (isNew) {
+    serviceUpdater = std::make_shared<WeightUpdater>(
+      *aPlugin.m_context, aService, aPlugin.m_settings);
+    const auto hosts = aPlugin.m_context->Get<objectstore::Hosts>()->Read();
+    serviceUpdater->SetHosts(*hosts);
+  } else {
     serviceUpdater->SetService(aService);
-    return;
   }
-  serviceUpdater = std::make_shared<WeightUpdater>(
-    *aPlugin.m_context, aService, aPlugin.m_settings);
-  const auto hosts = aPlugin.m_context->Get<objectstore::Hosts>()->Read();
-  serviceUpdater->SetHosts(*hosts);
   for (const auto& [name, version] : aPlugin.m_targetVersions) {
     serviceUpdater->HandleEvent(name, TargetAnnounced{ version });
   }
-  serviceUpdater->Start();
+  if (isNew) {
+    serviceUpdater->Start();
+  }
 }
 
 void
@@ -146,8 +149,11 @@
   // store.
   plugin->m_drainHold = aContext.ProcessShutdown().Acquire();
   plugin->m_drainTimer = std::make_unique<kernel::DeadlineTimer>(
-    aContext.Control(),
-    [weak = std::weak_ptr(plugin)] { weak.lock()->m_drainHold.reset(); });
+    aContext.Control(), [weak = std::weak_ptr(plugin)] {
+      if (const auto locked = weak.lock()) {
+        locked->m_drainHold.reset();
+      }
+    });
   plugin->m_drainTimer->Set(kernel::Now() + kLeaseReleaseDelay);
 }
 
