Return as many results in a page as a response may hold

All 320 results of a batch were stored at 36.3 s, right after an outage of the store; its trainer had them at 41.3 s. A page ended at 256 KiB, the batch had 2.6 MB, and a trainer reads about twice a second: ten pages are five seconds, in which the trainer neither trains nor asks for its next step.

Change: a page holds up to 950 kB as it is encoded (the interface allows 1 MB), with escapes counted.

--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -262,6 +262,11 @@
 void
 MarkOverdueItemsLost(BatchRun& aRun, core::Instant aNow);
 
+/// Returns the durable results from a position onwards, as many as fit into one
+/// page of at most 1 MB. Contains at least one result if there is one.
+std::span<const ItemResult>
+SelectPage(const BatchRun& aRun, size_t aFirstPosition);
+
 /// Returns the chunk to write now, if one is due, and keeps it as the chunk in
 /// flight until CommitChunk or ResolveChunkConflict is called.
 std::optional<ResultChunk>
--- a/src/batches/decisions/results.cpp
+++ b/src/batches/decisions/results.cpp
@@ -12,6 +12,16 @@
 // An object store value holds at most one megabyte, including its encoding.
 constexpr size_t kMaxChunkBytes = 400 * 1024;
 constexpr size_t kMaxChunkResults = 256;
+// Trainers read one page at a time and wait between two reads, so a page holds
+// as much as a response may.
+constexpr size_t kMaxPageBytes = 950'000;
+// Encoded size of a result without its texts, rounded up: names of the fields,
+// punctuation, versions.
+constexpr size_t kResultOverheadBytes = 200;
+constexpr size_t kEncodedVersionBytes = 21;
+// Encoded size of a control character in JSON, such as \u0001.
+constexpr size_t kEncodedControlBytes = 6;
+constexpr unsigned char kFirstPrintable = 0x20;
 
 size_t
 CountGroupsIf(const BatchRun& aRun,
@@ -51,6 +61,37 @@
   return completed == nullptr ? 0 : completed->m_text.size();
 }
 
+/// Returns an upper bound of the size of the text as a JSON string.
+size_t
+EncodedTextBytes(std::string_view aText)
+{
+  size_t bytes = 2;
+  for (const char character : aText) {
+    if (character == '\n' || character == '"' || character == '\\') {
+      bytes += 2;
+    } else if (static_cast<unsigned char>(character) < kFirstPrintable) {
+      bytes += kEncodedControlBytes;
+    } else {
+      bytes += 1;
+    }
+  }
+  return bytes;
+}
+
+/// Returns an upper bound of the size of the result in a page.
+size_t
+EncodedBytes(const ItemResult& aResult)
+{
+  size_t bytes =
+    kResultOverheadBytes + EncodedTextBytes(aResult.m_item.m_value);
+  if (const auto* completed = std::get_if<Completed>(&aResult.m_outcome)) {
+    bytes += EncodedTextBytes(completed->m_text);
+    bytes += EncodedTextBytes(completed->m_score);
+    bytes += kEncodedVersionBytes * completed->m_versions.size();
+  }
+  return bytes;
+}
+
 bool
 AreAllItemsDone(const BatchRun& aRun)
 {
@@ -72,6 +113,27 @@
   aRun.m_nextChunk = aChunk.m_number + 1;
 }
 
+std::span<const ItemResult>
+SelectPage(const BatchRun& aRun, size_t aFirstPosition)
+{
+  const std::span<const ItemResult> results(aRun.m_durableResults);
+  if (aFirstPosition >= results.size()) {
+    return {};
+  }
+  const std::span<const ItemResult> candidates =
+    results.subspan(aFirstPosition);
+  size_t count = 0;
+  size_t bytes = 0;
+  for (const ItemResult& result : candidates) {
+    bytes += EncodedBytes(result);
+    if (count > 0 && bytes > kMaxPageBytes) {
+      break;
+    }
+    count += 1;
+  }
+  return candidates.first(count);
+}
+
 std::optional<ResultChunk>
 StartNextChunk(BatchRun& aRun, core::Instant aNow)
 {
--- a/src/batches/internal/resultstorage.cpp
+++ b/src/batches/internal/resultstorage.cpp
@@ -8,25 +8,13 @@
 
 namespace {
 
-constexpr size_t kMaxPageBytes = 256 * 1024;
-
-/// Returns the durable results from a position onwards, as many as fit into one
-/// page.
 ResultPage
 MakePage(const BatchRun& aRun, size_t aFirstPosition)
 {
+  const std::span<const ItemResult> results = SelectPage(aRun, aFirstPosition);
   ResultPage page;
   page.m_total = aRun.m_items.size();
-  size_t bytes = 0;
-  for (size_t i = aFirstPosition; i < aRun.m_durableResults.size(); ++i) {
-    const auto* completed =
-      std::get_if<Completed>(&aRun.m_durableResults[i].m_outcome);
-    bytes += completed == nullptr ? 0 : completed->m_text.size();
-    if (i > aFirstPosition && bytes > kMaxPageBytes) {
-      break;
-    }
-    page.m_results.push_back(aRun.m_durableResults[i]);
-  }
+  page.m_results.assign(results.begin(), results.end());
   return page;
 }
 
