Let two hosts own the batches, whatever the number of rollout hosts

Change: the first two hosts of a ranking that all batches share are preferred as owners (owners.h); the next one takes the place of a host that fails.

Ruled out: that the owners' ignorance of each other is why engines refuse items.

--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "batches/internal/objectnames.h"
+#include "batches/owners.h"
 #include "core/failure.h"
-#include "core/rendezvous.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
 
@@ -73,10 +73,12 @@
       .push_back(host.m_name);
   }
   std::vector<objectstore::HostEntry> candidates;
-  for (const std::string& name : core::RankHosts(available, aBatch.m_value)) {
+  for (const std::string& name :
+       RankOwners(available, aBatch.m_value, kActiveOwners)) {
     candidates.push_back(entries[name]);
   }
-  for (const std::string& name : core::RankHosts(leaving, aBatch.m_value)) {
+  for (const std::string& name :
+       RankOwners(leaving, aBatch.m_value, kActiveOwners)) {
     candidates.push_back(entries[name]);
   }
   const std::scoped_lock lock(m_mutex);
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -2,7 +2,7 @@
 
 #include "batches/internal/batchjson.h"
 #include "batches/internal/objectnames.h"
-#include "core/rendezvous.h"
+#include "batches/owners.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
 #include "objectstore/hosts.h"
@@ -178,7 +178,7 @@
     }
   }
   const std::vector<std::string> ranked =
-    core::RankHosts(available, aBatch.m_value);
+    RankOwners(available, aBatch.m_value, kActiveOwners);
   return !ranked.empty() && ranked.front() == m_context.Self().m_host;
 }
 
--- /dev/null
+++ b/src/batches/owners.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heatherdeal::batches {
+
+/// Returns the hosts that may own the batch, in order of preference. The first
+/// aActiveOwners hosts of a ranking that all batches share come first, so that
+/// few hosts run all batches; within these, the order depends on the batch. A
+/// host that fails is replaced by the next one of the ranking.
+std::vector<std::string>
+RankOwners(std::span<const std::string> aHosts,
+           std::string_view aBatch,
+           size_t aActiveOwners);
+
+} // namespace heatherdeal::batches
