Let starting hosts list watched kinds from rollout hosts instead of the store

The first read of a host's own entry may be stale: the write is conditional.

Tests: objectstoretest.cpp, with the store out of reach and with no relay.

--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -26,6 +26,9 @@
 constexpr core::Duration kRelayResponseGrace = std::chrono::milliseconds(400);
 // Delay before a failed relay is tried again.
 constexpr core::Duration kRelayRetryDelay = std::chrono::seconds(3);
+// Delay before the next bootstrap relay is tried. All hosts may start at the
+// same time, so a relay may not have listed the kind itself yet.
+constexpr core::Duration kBootstrapRetryDelay = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -45,13 +48,20 @@
 WatchSource
 KindWatch::ChooseSource()
 {
-  // The first list comes from the store: the relays are known only once the
-  // host list has been read.
+  const core::Instant now = kernel::Now();
+  const auto relays = m_relays.Read();
+  const bool isFirstList = !m_hasListed;
+  const bool isBootstrapping = (isFirstList || relays->empty()) &&
+                               !m_options.m_bootstrapRelays.empty() &&
+                               now < m_options.m_bootstrapUntil;
+  if (isBootstrapping) {
+    return RelaySource{ CurrentBootstrapRelay() };
+  }
+  // A first list, or a list that is requested anew after an outage or a gap,
+  // comes from the store.
   if (!m_revision) {
     return StoreSource{};
   }
-  const core::Instant now = kernel::Now();
-  const auto relays = m_relays.Read();
   for (const core::Endpoint& relay : *relays) {
     const auto retryAt = m_failedRelayRetryAt.find(relay);
     if (retryAt == m_failedRelayRetryAt.end() || retryAt->second <= now) {
@@ -61,6 +71,13 @@
   return StoreSource{};
 }
 
+const core::Endpoint&
+KindWatch::CurrentBootstrapRelay() const
+{
+  const std::vector<core::Endpoint>& relays = m_options.m_bootstrapRelays;
+  return relays[m_bootstrapRelayIndex % relays.size()];
+}
+
 ListRequest
 KindWatch::BuildListRequest(const WatchSource& aSource) const
 {
@@ -165,6 +182,12 @@
     }
     if (!list.ok() && relay != nullptr) {
       HandleRelayFailure(*relay, list.status());
+      const bool isBootstrapRelay = !m_options.m_bootstrapRelays.empty() &&
+                                    relay->m_relay == CurrentBootstrapRelay();
+      if (isBootstrapRelay) {
+        m_bootstrapRelayIndex += 1;
+        co_await kernel::SleepUntil(kernel::Now() + kBootstrapRetryDelay);
+      }
       continue;
     }
     if (!list.ok()) {
@@ -300,6 +323,7 @@
     return false;
   }
   m_revision = aList.m_revision;
+  m_hasListed = true;
   if (aList.m_isFullList) {
     m_objects.clear();
   }
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -35,6 +35,9 @@
   core::Duration m_callTimeout{};
   core::Duration m_longPollWait{};
   core::Duration m_expiryGrace{};
+  /// Relays for the first list, which are polled until m_bootstrapUntil.
+  std::vector<core::Endpoint> m_bootstrapRelays;
+  core::Instant m_bootstrapUntil{};
   /// Both callbacks run on the control thread.
   ObjectStore::WatchCallback m_onChanged;
   ObjectStore::MissedChangesCallback m_onMissedChanges;
@@ -83,6 +86,8 @@
 
   /// Returns the first relay that has not failed recently, or the store.
   WatchSource ChooseSource();
+  /// Returns the bootstrap relay to try next. There must be one.
+  const core::Endpoint& CurrentBootstrapRelay() const;
   ListRequest BuildListRequest(const WatchSource& aSource) const;
   /// Returns a function that sends requests to the given source.
   RequestSender MakeRequestSender(const WatchSource& aSource);
@@ -119,7 +124,10 @@
   WatchOptions m_options;
   BackoffState m_backoff;
   size_t m_endpointIndex = 0;
+  size_t m_bootstrapRelayIndex = 0;
   std::optional<uint64_t> m_revision;
+  /// True once the kind has been listed.
+  bool m_hasListed = false;
   Objects m_objects;
   /// Objects that expired during an outage, and the end of their retention.
   Objects m_expiredObjects;
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -257,6 +257,8 @@
                         m_settings.m_callTimeout,
                         m_settings.m_longPollWait,
                         aExpiryGrace,
+                        m_settings.m_bootstrapRelays,
+                        kernel::Now() + m_settings.m_bootstrapTime,
                         std::move(aOnChanged),
                         [self = shared_from_this()](
                           std::string_view aMissedKind, uint64_t aRevision) {
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -37,6 +37,10 @@
   bool m_servesRelay = false;
   /// False if no upstream rejects orders with an outdated fencing token.
   bool m_upstreamsCheckFencingTokens = true;
+  /// Hosts that may serve watched kinds before the host list is known.
+  std::vector<core::Endpoint> m_bootstrapRelays;
+  /// How long a starting host asks them before it asks the store itself.
+  core::Duration m_bootstrapTime = std::chrono::milliseconds(1500);
   /// How long entries that expired during an outage are retained after it.
   core::Duration m_expiryGrace = std::chrono::milliseconds(1900);
 };
--- a/src/objectstore/objectstoremodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -55,6 +55,17 @@
     aReader.Errors().m_errors.push_back(
       { aReader.PathOf("endpoints"), "[]", "at least one endpoint" });
   }
+  const int64_t relayPort =
+    aReader.IntegerOr("bootstrap_relay_port", { 0, kMaxPort }, 0);
+  aReader.ForEach(
+    "bootstrap_relays",
+    [&](const boost::json::value& aValue, std::string_view aPath) {
+      core::Endpoint relay = ParseEndpoint(aReader, aValue, aPath);
+      if (relayPort > 0) {
+        relay.m_port = static_cast<uint16_t>(relayPort);
+      }
+      settings.m_bootstrapRelays.push_back(std::move(relay));
+    });
   settings.m_budget.m_callsPerSecond =
     aReader.NumberOr("calls_per_second", 0.1, kMaxCallsPerSecond, 20.0);
   settings.m_budget.m_burst =
@@ -66,6 +77,8 @@
     aReader.MillisecondsOr("watch_time_ms", range, settings.m_longPollWait);
   settings.m_backoff.m_maxDelay = aReader.MillisecondsOr(
     "backoff_max_ms", range, settings.m_backoff.m_maxDelay);
+  settings.m_bootstrapTime = aReader.MillisecondsOr(
+    "bootstrap_time_ms", range, settings.m_bootstrapTime);
   settings.m_servesRelay = aReader.FlagOr("serves_relay", false);
   settings.m_upstreamsCheckFencingTokens =
     aReader.FlagOr("upstreams_check_fences", true);
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -168,11 +168,14 @@
   http::Loopback m_remoteLoopback{ http::AnyPort() };
   std::shared_ptr<ObjectStore> m_remoteClient;
 
-  explicit HostPair(const core::Endpoint& aRemoteStoreEndpoint)
+  explicit HostPair(const core::Endpoint& aRemoteStoreEndpoint,
+                    std::vector<core::Endpoint> aBootstrapRelays = {})
   {
     m_remoteLoopback.Listen();
     ObjectStoreSettings settings;
     settings.m_endpoints = { aRemoteStoreEndpoint };
+    settings.m_bootstrapRelays = std::move(aBootstrapRelays);
+    settings.m_bootstrapTime = milliseconds(500);
     settings.m_callTimeout = milliseconds(1500);
     settings.m_budget = { 1000.0, 1000.0 };
     m_remoteClient =
@@ -215,6 +218,25 @@
   }
 };
 
+/// Waits until a watch has delivered the value. Returns false if that takes too
+/// long.
+bool
+WaitForValue(const std::string& aLastValue,
+             std::mutex& aMutex,
+             std::string_view aExpected)
+{
+  for (int i = 0; i < 1000; ++i) {
+    {
+      const std::scoped_lock lock(aMutex);
+      if (aLastValue == aExpected) {
+        return true;
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
 /// Returns an endpoint on which nothing listens any more.
 core::Endpoint
 ClosedPort()
@@ -260,27 +282,44 @@
   const std::vector<core::Endpoint> relays{ relay->m_loopback.Self() };
   hosts.m_remoteClient->SetWatchRelays(relays);
   hosts.Watch(lastValue, mutex);
-  const auto waitFor = [&](std::string_view aValue) {
-    for (int i = 0; i < 1000; ++i) {
-      {
-        const std::scoped_lock lock(mutex);
-        if (lastValue == aValue) {
-          return true;
-        }
-      }
-      std::this_thread::sleep_for(milliseconds(10));
-    }
-    return false;
-  };
   const auto first = store.Write(0, "a");
   REQUIRE(first.ok());
-  CHECK(waitFor("a"));
+  CHECK(WaitForValue(lastValue, mutex, "a"));
   const auto second = store.Write(*first, "b");
   REQUIRE(second.ok());
-  CHECK(waitFor("b"));
+  CHECK(WaitForValue(lastValue, mutex, "b"));
   relay.reset();
   REQUIRE(store.Write(*second, "c").ok());
-  CHECK(waitFor("c"));
+  CHECK(WaitForValue(lastValue, mutex, "c"));
+}
+
+TEST_CASE(
+  "a starting host lists a kind from a bootstrap relay, without calling "
+  "the store")
+{
+  StoreFixture store;
+  REQUIRE(store.Write(0, "a").ok());
+  RelayHost relay(store.m_loopback.Self());
+  relay.m_loopback.Kernel().Control().Post([&] {
+    relay.m_store->Watch("kind", [](std::span<const StoredObject>) {});
+  });
+  // The store cannot be reached directly, and the first relay is down.
+  HostPair hosts(ClosedPort(), { ClosedPort(), relay.m_loopback.Self() });
+  std::mutex mutex;
+  std::string lastValue;
+  hosts.Watch(lastValue, mutex);
+  CHECK(WaitForValue(lastValue, mutex, "a"));
+}
+
+TEST_CASE("a starting host asks the store if no bootstrap relay answers")
+{
+  StoreFixture store;
+  REQUIRE(store.Write(0, "a").ok());
+  HostPair hosts(store.m_loopback.Self(), { ClosedPort() });
+  std::mutex mutex;
+  std::string lastValue;
+  hosts.Watch(lastValue, mutex);
+  CHECK(WaitForValue(lastValue, mutex, "a"));
 }
 
 TEST_CASE("the call budget reserves a share for higher priorities")
--- a/src/registration/internal/registrar.cpp
+++ b/src/registration/internal/registrar.cpp
@@ -47,7 +47,14 @@
   }
   const objectstore::ObjectKey key{ std::string(kHostsKind),
                                     m_context.Self().m_host };
-  m_context.Get<objectstore::ObjectStore>()->Read(
+  // A stale read is enough for the first attempt: the write fails if the entry
+  // has changed since, and the next read is a current one.
+  const objectstore::Freshness freshness =
+    m_attempts == 0 ? objectstore::Freshness::MayBeStale
+                    : objectstore::Freshness::Latest;
+  m_attempts += 1;
+  m_context.Get<objectstore::ObjectStore>()->ReadWithFreshness(
+    freshness,
     key,
     objectstore::CallPriority::Configuration,
     [self =
--- a/src/registration/internal/registrar.h
+++ b/src/registration/internal/registrar.h
@@ -38,6 +38,8 @@
 
   kernel::Context& m_context;
   RegistrationSettings m_settings;
+  /// Number of reads of the stored entry.
+  uint32_t m_attempts = 0;
   kernel::DeadlineTimer m_retryTimer;
 };
 
