Gossip mostly within the failure domain, and let rollout hosts watch each other

Change: of a round's digests one goes to another failure domain, the others stay (remote_fanout, checked setting). Rollout hosts send each other a digest in every round, so their failure is noticed after suspect_after_ms whatever the number of hosts.

--- a/src/gossip/decisions/members.cpp
+++ b/src/gossip/decisions/members.cpp
@@ -1,6 +1,7 @@
 #include "gossip/members.h"
 
 #include <algorithm>
+#include <span>
 
 namespace heatherdeal::gossip {
 
@@ -105,7 +106,47 @@
   return digest;
 }
 
-/// Sends a digest to m_fanout random peers.
+/// Adds random peers that have not been chosen yet, until aTotal are chosen or
+/// none is left.
+void
+ChooseRandomPeers(GossipState& aState,
+                  std::span<const std::string> aPeers,
+                  size_t aTotal,
+                  std::vector<std::string>& aChosen)
+{
+  std::vector<const std::string*> candidates;
+  for (const std::string& peer : aPeers) {
+    if (std::ranges::find(aChosen, peer) == aChosen.end()) {
+      candidates.push_back(&peer);
+    }
+  }
+  while (aChosen.size() < aTotal && !candidates.empty()) {
+    std::swap(candidates[aState.m_random() % candidates.size()],
+              candidates.back());
+    aChosen.push_back(*candidates.back());
+    candidates.pop_back();
+  }
+}
+
+/// Chooses m_fanout peers, most of them in the own failure domain, where
+/// traffic is cheap and which a partition does not cut off.
+std::vector<std::string>
+ChoosePeers(GossipState& aState)
+{
+  const size_t fanout = aState.m_policy.m_fanout;
+  const size_t maxLocal =
+    fanout - std::min<size_t>(fanout, aState.m_policy.m_remoteFanout);
+  std::vector<std::string> chosen;
+  ChooseRandomPeers(aState, aState.m_localPeers, maxLocal, chosen);
+  ChooseRandomPeers(aState, aState.m_remotePeers, fanout, chosen);
+  ChooseRandomPeers(aState, aState.m_localPeers, fanout, chosen);
+  const size_t watched = std::min<size_t>(aState.m_policy.m_maxWatchedPeers,
+                                          aState.m_watchedPeers.size());
+  ChooseRandomPeers(
+    aState, aState.m_watchedPeers, chosen.size() + watched, chosen);
+  return chosen;
+}
+
 void
 SendDigestToPeers(GossipState& aState, Effects& aEffects)
 {
@@ -113,16 +154,8 @@
     return;
   }
   const Digest digest = MakeDigest(aState);
-  std::vector<std::string> chosenPeers;
-  const size_t count =
-    std::min<size_t>(aState.m_policy.m_fanout, aState.m_peers.size());
-  while (chosenPeers.size() < count) {
-    const std::string& peer =
-      aState.m_peers[aState.m_random() % aState.m_peers.size()];
-    if (std::ranges::find(chosenPeers, peer) == chosenPeers.end()) {
-      chosenPeers.push_back(peer);
-      aEffects.push_back(SendDigest{ peer, digest });
-    }
+  for (const std::string& peer : ChoosePeers(aState)) {
+    aEffects.push_back(SendDigest{ peer, digest });
   }
 }
 
@@ -133,9 +166,18 @@
             Effects&)
 {
   aState.m_peers.clear();
+  aState.m_localPeers.clear();
+  aState.m_remotePeers.clear();
+  aState.m_watchedPeers.clear();
   for (const std::string& host : aEvent.m_hosts) {
-    if (host != aState.m_self.m_host) {
-      aState.m_peers.push_back(host);
+    if (host == aState.m_self.m_host) {
+      continue;
+    }
+    const bool isLocal = aEvent.m_localHosts.contains(host);
+    aState.m_peers.push_back(host);
+    (isLocal ? aState.m_localPeers : aState.m_remotePeers).push_back(host);
+    if (aEvent.m_watchGroup.contains(host)) {
+      aState.m_watchedPeers.push_back(host);
     }
   }
   std::erase_if(aState.m_members, [&aState](const auto& aEntry) {
@@ -272,9 +314,16 @@
   }
   const core::Duration sinceUpdate = aNow - found->second.m_updatedAt;
   const auto hostCount = static_cast<int64_t>(aState.m_members.size());
+  // Members of a watch group send each other a digest in every round, however
+  // many hosts there are.
+  const bool isWatched =
+    aState.m_watchedPeers.size() <= aState.m_policy.m_maxWatchedPeers &&
+    std::ranges::find(aState.m_watchedPeers, aHost) !=
+      aState.m_watchedPeers.end();
   const core::Duration suspicionTimeout =
-    std::max(aState.m_policy.m_suspectAfter,
-             aState.m_policy.m_suspectAfterPerHost * hostCount);
+    isWatched ? aState.m_policy.m_suspectAfter
+              : std::max(aState.m_policy.m_suspectAfter,
+                         aState.m_policy.m_suspectAfterPerHost * hostCount);
   // If this host was delayed itself, unread digests may still be queued on it.
   return sinceUpdate > suspicionTimeout + 2 * aState.m_lastRoundDelay;
 }
--- a/src/gossip/gossipmodule.cpp
+++ b/src/gossip/gossipmodule.cpp
@@ -42,6 +42,8 @@
     "suspect_after_ms", kIntervalRange, settings.m_policy.m_suspectAfter);
   settings.m_policy.m_fanout = static_cast<uint32_t>(
     aReader.IntegerOr("fanout", { 1, kMaxFanout }, settings.m_policy.m_fanout));
+  settings.m_policy.m_remoteFanout = static_cast<uint32_t>(aReader.IntegerOr(
+    "remote_fanout", { 1, kMaxFanout }, settings.m_policy.m_fanout));
   settings.m_policy.m_piggybackedHosts = static_cast<uint32_t>(
     aReader.IntegerOr("piggyback",
                       { 0, kMaxHostsPerDigest - 1 },
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -280,6 +280,12 @@
                              host.m_service,
                              host.m_failureDomain };
     event.m_hosts.push_back(host.m_name);
+    if (host.m_failureDomain.m_value == m_context.Self().m_failureDomain) {
+      event.m_localHosts.insert(host.m_name);
+    }
+    if (m_settings.m_servesRelay && host.m_service == m_settings.m_relayRole) {
+      event.m_watchGroup.insert(host.m_name);
+    }
   }
   HandleEvent(event);
   UpdateRelays();
--- a/src/gossip/members.h
+++ b/src/gossip/members.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -18,8 +19,14 @@
 {
   /// Time between two gossip rounds.
   core::Duration m_roundInterval = std::chrono::milliseconds(500);
-  /// Number of peers that receive a digest in each round.
+  /// Number of random peers that receive a digest in each round.
   uint32_t m_fanout = 2;
+  /// How many of these may be in other failure domains, if there are enough
+  /// peers in the own one.
+  uint32_t m_remoteFanout = 2;
+  /// Maximum number of peers of the own watch group that receive a digest in
+  /// each round, in addition to the random ones.
+  uint32_t m_maxWatchedPeers = 16;
   /// A host is suspected if no newer status of it arrives for this long.
   core::Duration m_suspectAfter = std::chrono::seconds(5);
   /// The suspicion timeout is at least this long for each known host, because
@@ -46,6 +53,11 @@
   std::map<std::string, Member, std::less<>> m_members;
   /// Hosts in the host list, without this host. Digests go to these only.
   std::vector<std::string> m_peers;
+  /// The peers in the failure domain of this host, and the others.
+  std::vector<std::string> m_localPeers;
+  std::vector<std::string> m_remotePeers;
+  /// The peers of the own watch group.
+  std::vector<std::string> m_watchedPeers;
   /// Newest known version of each set of weights.
   std::map<std::string, core::WeightVersion> m_versions;
   /// For each object kind, the revision up to which watches missed changes.
@@ -62,6 +74,11 @@
 {
   /// Names of all hosts in the list; may include this host.
   std::vector<std::string> m_hosts;
+  /// Those in the failure domain of this host.
+  std::set<std::string, std::less<>> m_localHosts;
+  /// Those that watch each other closely together with this host; empty if this
+  /// host is in no such group.
+  std::set<std::string, std::less<>> m_watchGroup;
 };
 
 /// A valid digest has arrived from another host.
--- a/src/gossip/tests/memberstest.cpp
+++ b/src/gossip/tests/memberstest.cpp
@@ -18,23 +18,44 @@
 class Fleet
 {
 public:
-  explicit Fleet(size_t aHostCount, uint32_t aLossPercent = 0)
+  /// The hosts are distributed over aDomainCount failure domains. The first
+  /// aWatchGroup hosts watch each other.
+  explicit Fleet(size_t aHostCount,
+                 uint32_t aLossPercent = 0,
+                 size_t aDomainCount = 1,
+                 size_t aWatchGroup = 0,
+                 const GossipPolicy& aPolicy = {})
     : m_lossPercent(aLossPercent)
+    , m_domainCount(aDomainCount)
     , m_random(5)
   {
-    PeersChanged peers;
-    for (size_t i = 0; i < aHostCount; ++i) {
-      peers.m_hosts.push_back(HostName(i));
-    }
     m_hosts.resize(aHostCount);
     for (size_t i = 0; i < aHostCount; ++i) {
       m_hosts[i].m_state.m_self = { HostName(i), 1, 0, false, 0 };
+      m_hosts[i].m_state.m_policy = aPolicy;
       m_hosts[i].m_state.m_random.seed(i);
-      HandleEvent(i, peers);
+      HandleEvent(i, MakePeers(i, aWatchGroup));
       HandleEvent(i, RoundDue{});
     }
   }
 
+  PeersChanged MakePeers(size_t aHost, size_t aWatchGroup) const
+  {
+    PeersChanged peers;
+    for (size_t i = 0; i < m_hosts.size(); ++i) {
+      peers.m_hosts.push_back(HostName(i));
+      if (m_domainCount > 1 && DomainOf(i) == DomainOf(aHost)) {
+        peers.m_localHosts.insert(HostName(i));
+      }
+      if (i < aWatchGroup && aHost < aWatchGroup) {
+        peers.m_watchGroup.insert(HostName(i));
+      }
+    }
+    return peers;
+  }
+
+  size_t DomainOf(size_t aHost) const { return aHost % m_domainCount; }
+
   static std::string HostName(size_t aIndex)
   {
     return "h" + std::to_string(aIndex);
@@ -64,6 +85,7 @@
     if (const auto* send = std::get_if<SendDigest>(&aEffect)) {
       m_messages += 1;
       const size_t to = std::stoul(send->m_peer.substr(1));
+      m_remoteMessages += DomainOf(aFrom) == DomainOf(to) ? 0 : 1;
       const bool crossesPartition = m_isPartitioned && (aFrom % 2 != to % 2);
       if (!crossesPartition && m_random() % 100 >= m_lossPercent) {
         m_queue.ScheduleAfter(milliseconds(2),
@@ -99,9 +121,11 @@
   virtualworld::EventQueue m_queue;
   std::vector<Host> m_hosts;
   uint32_t m_lossPercent;
+  size_t m_domainCount;
   std::mt19937_64 m_random;
   bool m_isPartitioned = false;
   uint64_t m_messages = 0;
+  uint64_t m_remoteMessages = 0;
 };
 
 core::Instant
@@ -188,6 +212,84 @@
   CHECK(suspicions <= 20 * 80 * 79 / 10'000);
 }
 
+namespace {
+
+/// The policy of the deployed programs.
+GossipPolicy
+DeployedPolicy()
+{
+  GossipPolicy policy;
+  policy.m_roundInterval = milliseconds(300);
+  policy.m_fanout = 5;
+  policy.m_remoteFanout = 1;
+  policy.m_piggybackedHosts = 22;
+  policy.m_suspectAfter = milliseconds(1800);
+  return policy;
+}
+
+} // namespace
+
+// Pattern: hundreds of hosts, of which a few own all batches. The suspicion
+// timeout grows with the number of hosts, so the batches of an owner that fails
+// would wait for most of their time.
+TEST_CASE("hosts of a watch group notice the failure of one of them in 2.5 s, "
+          "however many hosts there are")
+{
+  constexpr size_t kGroup = 6;
+  Fleet fleet(180, 1, 6, kGroup, DeployedPolicy());
+  fleet.m_queue.RunUntil(AtSecond(6));
+  fleet.m_hosts[3].m_isDown = true;
+  size_t falseSuspicions = 0;
+  for (int tenth = 60; tenth <= 85; ++tenth) {
+    const core::Instant now = core::Instant(milliseconds(100 * tenth));
+    fleet.m_queue.RunUntil(now);
+    for (size_t i = 0; i < kGroup; ++i) {
+      for (size_t other = 0; other < kGroup; ++other) {
+        const bool isSuspect =
+          IsSuspect(fleet.m_hosts[i].m_state, Fleet::HostName(other), now);
+        falseSuspicions += isSuspect && other != 3 && i != 3 ? 1 : 0;
+      }
+    }
+  }
+  CHECK(falseSuspicions == 0);
+  for (size_t i = 0; i < kGroup; ++i) {
+    const GossipState& state = fleet.m_hosts[i].m_state;
+    CHECK((i == 3 || IsSuspect(state, "h3", fleet.m_queue.Now())));
+  }
+}
+
+// Pattern: hundreds of hosts in several failure domains, between which traffic
+// is dear.
+TEST_CASE(
+  "most digests stay in their failure domain, and news still reaches all "
+  "hosts within 2 s")
+{
+  Fleet fleet(180, 1, 6, 0, DeployedPolicy());
+  fleet.m_queue.RunUntil(AtSecond(6));
+  fleet.m_messages = 0;
+  fleet.m_remoteMessages = 0;
+  fleet.HandleEvent(4, GenerationActivated{ 7 });
+  fleet.m_queue.RunUntil(AtSecond(8));
+  CHECK(fleet.CountHostsWithGeneration(7) == 180);
+  CHECK(fleet.m_remoteMessages * 4 <= fleet.m_messages);
+}
+
+TEST_CASE("hosts of other failure domains are rarely suspected without reason")
+{
+  Fleet fleet(180, 1, 6, 0, DeployedPolicy());
+  size_t suspicions = 0;
+  for (int second = 10; second < 20; ++second) {
+    fleet.m_queue.RunUntil(AtSecond(second));
+    for (const auto& host : fleet.m_hosts) {
+      for (const auto& [name, member] : host.m_state.m_members) {
+        suspicions += IsSuspect(host.m_state, name, AtSecond(second)) ? 1 : 0;
+      }
+    }
+  }
+  // At most one in 10,000 checks, as for smaller fleets.
+  CHECK(suspicions <= 10 * 180 * 179 / 10'000);
+}
+
 TEST_CASE("a host that was stalled itself suspects no other host")
 {
   GossipState state;
