Keep followers from calling the store while their relays report an outage

Change: relays that report the store as unavailable are asked again after 0.3 s. A host calls the store itself only after 0.9 s of that, and once in 2 s for all kinds. A list that has to be requested anew comes from a relay too. Lists older than what was applied are refused also after a gap or an outage (before, a relist from a stale replica was accepted). An empty page that is marked truncated is a failure, not the end of the list.

Tests: objectstoretest.cpp; both new cases fail with the watch of before (9 calls, 2 allowed; the stale value delivered).

--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -29,6 +29,23 @@
 // Delay before the next bootstrap relay is tried. All hosts may start at the
 // same time, so a relay may not have listed the kind itself yet.
 constexpr core::Duration kBootstrapRetryDelay = std::chrono::milliseconds(150);
+// Delay before a relay that reports the store as unavailable is asked again.
+constexpr core::Duration kUnavailableRetryDelay =
+  std::chrono::milliseconds(300);
+// How long the relays' word is taken before this host calls the store itself.
+// The relays may be cut off from a store that others can reach.
+constexpr core::Duration kTrustRelaysFor = std::chrono::milliseconds(900);
+constexpr uint32_t kUnavailable = 503;
+
+/// True if a relay responded that it cannot reach the store.
+bool
+IsStoreUnavailableAtRelay(const absl::Status& aStatus)
+{
+  const std::optional<core::Failure> failure = core::FailureFromStatus(aStatus);
+  const auto* refused =
+    failure ? std::get_if<core::PeerRefused>(&*failure) : nullptr;
+  return refused != nullptr && refused->m_status == kUnavailable;
+}
 
 } // namespace
 
@@ -57,9 +74,7 @@
   if (isBootstrapping) {
     return RelaySource{ CurrentBootstrapRelay() };
   }
-  // A first list, or a list that is requested anew after an outage or a gap,
-  // comes from the store.
-  if (!m_revision) {
+  if (isFirstList) {
     return StoreSource{};
   }
   for (const core::Endpoint& relay : *relays) {
@@ -68,7 +83,20 @@
       return RelaySource{ relay };
     }
   }
-  return StoreSource{};
+  return m_relaysUnavailableSince ? ChooseDuringOutage()
+                                  : WatchSource(StoreSource{});
+}
+
+WatchSource
+KindWatch::ChooseDuringOutage()
+{
+  const core::Instant now = kernel::Now();
+  const bool mayProbe = now >= *m_relaysUnavailableSince + kTrustRelaysFor &&
+                        m_transport->TryStartProbe();
+  if (mayProbe) {
+    return StoreSource{};
+  }
+  return WaitForRelays{ now + kUnavailableRetryDelay };
 }
 
 const core::Endpoint&
@@ -168,6 +196,10 @@
   const auto self = shared_from_this();
   for (;;) {
     const WatchSource source = ChooseSource();
+    if (const auto* wait = std::get_if<WaitForRelays>(&source)) {
+      co_await kernel::SleepUntil(wait->m_until);
+      continue;
+    }
     const ListRequest request = BuildListRequest(source);
     const auto* relay = std::get_if<RelaySource>(&source);
     m_isPollingRelay = relay != nullptr;
@@ -195,6 +227,7 @@
       co_await BackOff();
       continue;
     }
+    m_relaysUnavailableSince.reset();
     const bool isAfterOutage = m_storeLostAt.has_value();
     RecordReachability(list.status());
     if (isAfterOutage && list->m_isFullList && relay == nullptr) {
@@ -240,7 +273,15 @@
 KindWatch::HandleRelayFailure(const RelaySource& aSource,
                               const absl::Status& aStatus)
 {
-  m_failedRelayRetryAt[aSource.m_relay] = kernel::Now() + kRelayRetryDelay;
+  const core::Instant now = kernel::Now();
+  if (IsStoreUnavailableAtRelay(aStatus)) {
+    m_failedRelayRetryAt[aSource.m_relay] = now + kUnavailableRetryDelay;
+    if (!m_relaysUnavailableSince) {
+      m_relaysUnavailableSince = now;
+    }
+  } else {
+    m_failedRelayRetryAt[aSource.m_relay] = now + kRelayRetryDelay;
+  }
   m_context.Metrics().Get("objectstore.relay_failed").Add();
   kernel::LogEvent(kernel::LogLevel::Info,
                    "objectstore",
@@ -318,11 +359,13 @@
 bool
 KindWatch::ApplyList(ObjectList aList)
 {
-  // A lower revision than the known one comes from a stale replica.
-  if (m_revision && aList.m_revision < *m_revision) {
+  // A lower revision than the known one comes from a stale replica, also if the
+  // list is requested anew after an outage or a gap.
+  if (aList.m_revision < m_lastRevision) {
     return false;
   }
   m_revision = aList.m_revision;
+  m_lastRevision = aList.m_revision;
   m_hasListed = true;
   if (aList.m_isFullList) {
     m_objects.clear();
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -53,7 +53,14 @@
   core::Endpoint m_relay;
 };
 
-using WatchSource = std::variant<StoreSource, RelaySource>;
+/// The relays report that they cannot reach the store; they are asked again
+/// later.
+struct WaitForRelays
+{
+  core::Instant m_until{};
+};
+
+using WatchSource = std::variant<StoreSource, RelaySource, WaitForRelays>;
 
 /// Keeps a local copy of one kind up to date by long polling the store or a
 /// relay. Runs on one traffic loop, except where noted.
@@ -84,8 +91,11 @@
 private:
   using Objects = std::map<std::string, StoredObject>;
 
-  /// Returns the first relay that has not failed recently, or the store.
+  /// Returns the first relay that has not failed recently, or the store if
+  /// there is none.
   WatchSource ChooseSource();
+  /// Returns what to do while relays report that the store is unavailable.
+  WatchSource ChooseDuringOutage();
   /// Returns the bootstrap relay to try next. There must be one.
   const core::Endpoint& CurrentBootstrapRelay() const;
   ListRequest BuildListRequest(const WatchSource& aSource) const;
@@ -125,7 +135,11 @@
   BackoffState m_backoff;
   size_t m_endpointIndex = 0;
   size_t m_bootstrapRelayIndex = 0;
+  /// The revision from which the watch continues; empty if the kind has to be
+  /// listed anew.
   std::optional<uint64_t> m_revision;
+  /// The highest revision that has been applied.
+  uint64_t m_lastRevision = 0;
   /// True once the kind has been listed.
   bool m_hasListed = false;
   Objects m_objects;
@@ -142,6 +156,8 @@
   kernel::Published<std::vector<core::Endpoint>> m_relays;
   /// The relays that failed, with the earliest time of the next attempt.
   std::map<core::Endpoint, core::Instant> m_failedRelayRetryAt;
+  /// Since when relays have reported that the store is unavailable, if they do.
+  std::optional<core::Instant> m_relaysUnavailableSince;
   /// Guards the members below.
   mutable std::mutex m_mutex;
   std::shared_ptr<const KindSnapshot> m_snapshot;
--- a/src/objectstore/internal/objectcalls.cpp
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -1,5 +1,7 @@
 #include "objectstore/internal/objectcalls.h"
 
+#include "core/failure.h"
+
 namespace heatherdeal::objectstore {
 
 namespace {
@@ -77,6 +79,10 @@
     if (!page.ok()) {
       co_return page.status();
     }
+    if (page->m_isTruncated && page->m_objects.empty()) {
+      co_return core::ToStatus(core::InvalidInput{
+        "list of " + aList.m_kind, "an object on each page but the last" });
+    }
     const bool isFirst = aList.m_continueAfterName.empty();
     if (isFirst && !page->m_isTruncated) {
       co_return page;
@@ -89,7 +95,7 @@
     for (StoredObject& object : page->m_objects) {
       fullList.m_objects.push_back(std::move(object));
     }
-    if (!page->m_isTruncated || page->m_objects.empty()) {
+    if (!page->m_isTruncated) {
       co_return fullList;
     }
     aList.m_continueAfterName = fullList.m_objects.back().m_key.m_name;
--- a/src/objectstore/internal/storetransport.cpp
+++ b/src/objectstore/internal/storetransport.cpp
@@ -22,6 +22,8 @@
 constexpr core::Duration kDirectRetryDelay = std::chrono::milliseconds(1500);
 constexpr core::Duration kRelayRetryDelay = std::chrono::milliseconds(700);
 constexpr size_t kMaxRelaysTried = 2;
+// Time between two probes of the store by one host.
+constexpr core::Duration kProbeInterval = std::chrono::seconds(2);
 
 /// True if the store processed the request, whether it succeeded or not.
 bool
@@ -63,6 +65,17 @@
   m_relays.Publish(std::move(aRelays));
 }
 
+bool
+StoreTransport::TryStartProbe()
+{
+  const core::Instant now = kernel::Now();
+  if (now < m_nextProbeAt) {
+    return false;
+  }
+  m_nextProbeAt = now + kProbeInterval;
+  return true;
+}
+
 asio::awaitable<absl::StatusOr<http::Response>>
 StoreTransport::SendDirect(const http::Request& aRequest,
                            core::Instant aDeadline)
--- a/src/objectstore/internal/storetransport.h
+++ b/src/objectstore/internal/storetransport.h
@@ -29,6 +29,10 @@
     http::Request aRequest,
     core::Instant aDeadline);
 
+  /// True if this host may call the store although relays report that it cannot
+  /// be reached. Few such calls are made, because all hosts would make them.
+  bool TryStartProbe();
+
   /// Forwards a request of another host directly to the store.
   boost::asio::awaitable<void> ForwardRelayedCall(http::Exchange& aExchange);
 
@@ -51,6 +55,7 @@
   /// Earliest time of the next attempt on the direct path, or through relays.
   core::Instant m_directRetryAt{};
   core::Instant m_relayRetryAt{};
+  core::Instant m_nextProbeAt{};
   kernel::Published<std::vector<core::Endpoint>> m_relays;
 };
 
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -6,6 +6,8 @@
 #include "catch2/catch.hpp"
 
 #include "http/tests/loopback.h"
+#include "kernel/sleep.h"
+#include "objectstore/objectcodec.h"
 #include "standin/objectapi/objectapi.h"
 
 namespace heatherdeal::objectstore {
@@ -237,6 +239,53 @@
   return false;
 }
 
+/// A store or relay that answers each list request with the next response of a
+/// series, and then with the last one.
+struct ScriptedStore
+{
+  http::Loopback m_loopback{ http::AnyPort() };
+  std::vector<http::Response> m_responses;
+  std::atomic<size_t> m_requests{ 0 };
+
+  explicit ScriptedStore(std::vector<http::Response> aResponses)
+    : m_responses(std::move(aResponses))
+  {
+    m_loopback.Http().AddRoute(
+      { "GET", "/watch/", [this](http::Exchange& aExchange) {
+         return Handle(aExchange);
+       } });
+    m_loopback.Listen();
+  }
+
+  boost::asio::awaitable<void> Handle(http::Exchange& aExchange)
+  {
+    const size_t request = m_requests.fetch_add(1);
+    co_await kernel::SleepUntil(kernel::Now() + milliseconds(10));
+    http::Response response =
+      m_responses[std::min(request, m_responses.size() - 1)];
+    co_await aExchange.RespondIgnoringErrors(std::move(response));
+  }
+};
+
+http::Response
+ListResponse(uint64_t aRevision, std::string aValue)
+{
+  http::Response response;
+  const std::vector<StoredObject> objects{
+    { { "kind", "name" }, aRevision, std::move(aValue), "" }
+  };
+  response.m_body = EncodeBuiltInList(aRevision, objects);
+  return response;
+}
+
+http::Response
+ErrorResponse(uint32_t aStatus)
+{
+  http::Response response;
+  response.m_head.m_status = aStatus;
+  return response;
+}
+
 /// Returns an endpoint on which nothing listens any more.
 core::Endpoint
 ClosedPort()
@@ -293,6 +342,61 @@
   CHECK(WaitForValue(lastValue, mutex, "c"));
 }
 
+TEST_CASE("after a gap in the history, a list from a stale replica is ignored")
+{
+  constexpr uint32_t kGone = 410;
+  ScriptedStore store({ ListResponse(10, "current"),
+                        ErrorResponse(kGone),
+                        ListResponse(5, "stale"),
+                        ListResponse(11, "newer") });
+  HostPair hosts(store.m_loopback.Self());
+  std::mutex mutex;
+  std::vector<std::string> values;
+  hosts.m_remoteLoopback.Kernel().Control().Post([&] {
+    hosts.m_remoteClient->Watch("kind",
+                                [&](std::span<const StoredObject> aObjects) {
+                                  const std::scoped_lock lock(mutex);
+                                  values.push_back(aObjects.front().m_value);
+                                });
+  });
+  for (int i = 0; i < 1000; ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+    const std::scoped_lock lock(mutex);
+    if (!values.empty() && values.back() == "newer") {
+      break;
+    }
+  }
+  const std::scoped_lock lock(mutex);
+  REQUIRE_FALSE(values.empty());
+  CHECK(values.front() == "current");
+  CHECK(values.back() == "newer");
+  CHECK(std::ranges::find(values, "stale") == values.end());
+}
+
+// Pattern: an outage of the store with hundreds of hosts that follow relays. If
+// each of them called the store itself, it would get thousands of calls that it
+// cannot answer.
+TEST_CASE(
+  "while relays report an outage, a host calls the store rarely, and it "
+  "follows the relays again afterwards")
+{
+  constexpr uint32_t kUnavailable = 503;
+  ScriptedStore store({ ErrorResponse(kUnavailable) });
+  std::vector<http::Response> relayed(8, ErrorResponse(kUnavailable));
+  relayed.insert(relayed.begin(), ListResponse(10, "before"));
+  relayed.push_back(ListResponse(11, "after"));
+  ScriptedStore relay(relayed);
+  HostPair hosts(store.m_loopback.Self(), { relay.m_loopback.Self() });
+  const std::vector<core::Endpoint> relays{ relay.m_loopback.Self() };
+  hosts.m_remoteClient->SetWatchRelays(relays);
+  std::mutex mutex;
+  std::string lastValue;
+  hosts.Watch(lastValue, mutex);
+  CHECK(WaitForValue(lastValue, mutex, "after"));
+  // Eight responses of the relay take 2.4 s.
+  CHECK(store.m_requests.load() <= 2);
+}
+
 TEST_CASE(
   "a starting host lists a kind from a bootstrap relay, without calling "
   "the store")
