Bound what a peer can make this process buffer, and measure stalls by events

Cause, read in the code: the client allowed bodies of 256 MB on hosts of 160 MB and kept them whole, kept the extension of a chunk or a trailer of any length, took a 1xx head for the final one, and read framing by recursion. Lines and events of streams could grow without end. A text stream counted as alive with each byte, so one that sent a byte now and then held its item until the item's deadline. A response that was cut off did not count against its upstream. Connections of refusals were closed, since their body was not read.

Change: ResponseMemory limits one buffered response and all of them together (settings response_bytes, buffered_response_bytes); heads, extensions and trailers have 64 KiB; eight informational responses are skipped; events, lines and texts have limits; the connection is closed at once and the upstream's failure counted. Only complete events count as progress of a text. The rest of a short refusal is read, so that its connection is used again.

--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -18,6 +18,8 @@
 constexpr core::Duration kFirstEventTimeout = std::chrono::seconds(3);
 // Longer than a weight update pauses a stream.
 constexpr core::Duration kStallTimeout = std::chrono::milliseconds(1800);
+// A text has to fit into one object of the store together with its encoding.
+constexpr size_t kMaxTextBytes = 600UL * 1024;
 // The time between two progress reports of a run.
 constexpr core::Duration kProgressInterval = std::chrono::milliseconds(500);
 // How long an engine is excluded after it refused an item, because it was
@@ -76,9 +78,16 @@
         return false;
       }
     }
+    if (m_parser.IsEventTooLarge() || m_textBytes > kMaxTextBytes) {
+      aReport.m_outcome = RunFailed{};
+      return false;
+    }
     return true;
   }
 
+  /// Returns when the last event became complete, or Instant{} if none did.
+  core::Instant LastEventAt() const { return m_lastEventAt; }
+
 private:
   bool AppendEvent(relay::StreamEvent& aEvent, RunReport& aReport)
   {
@@ -99,6 +108,7 @@
       aReport.m_text += '\n';
     }
     aReport.m_text += aEvent.m_data;
+    m_textBytes += aEvent.m_data.size();
     aReport.m_lastEvent = aEvent.m_id;
     m_nextEventId += 1;
     const core::Instant now = kernel::Now();
@@ -116,6 +126,8 @@
   core::Instant m_lastEventAt{};
   relay::EventStreamParser m_parser;
   uint64_t m_nextEventId;
+  /// Size of the text that this run has generated.
+  size_t m_textBytes = 0;
   core::WeightVersion m_oldestAllowedVersion;
   /// The version that generates the current event.
   core::WeightVersion m_version;
@@ -139,23 +151,25 @@
          RunReport& aReport)
 {
   TextCollector text(aTask, aVersion);
-  core::Duration timeout = kFirstEventTimeout;
-  core::Instant nextReportAt = kernel::Now() + kProgressInterval;
+  const core::Instant startedAt = kernel::Now();
+  core::Instant nextReportAt = startedAt + kProgressInterval;
   while (!aStream.HasEnded()) {
-    const core::Instant limit =
-      std::min(aTask.m_deadline, kernel::Now() + timeout);
+    // Only complete events count as progress, not every byte.
+    const core::Instant stallsAt = text.LastEventAt() == core::Instant{}
+                                     ? startedAt + kFirstEventTimeout
+                                     : text.LastEventAt() + kStallTimeout;
+    const core::Instant limit = std::min(aTask.m_deadline, stallsAt);
     const absl::StatusOr<std::string_view> part = co_await aStream.Read(limit);
     if (!part.ok()) {
       aReport.m_outcome = RunInterrupted{};
       LogRunEnd(aTask, "broken", http::DescribeStatus(part.status()), aReport);
       co_return;
     }
-    timeout = kStallTimeout;
     if (!text.AppendPart(*part, aReport)) {
       aStream.Abandon();
       LogRunEnd(aTask,
                 "unusable",
-                "unexpected event id or outdated weight version",
+                "unexpected event id, outdated weight version or too large",
                 aReport);
       co_return;
     }
@@ -208,6 +222,8 @@
     if (isMismatched) {
       report.m_outcome = RunInterrupted{};
       stream->Abandon();
+    } else {
+      co_await stream->DiscardBody();
     }
     LogRunEnd(aTask,
               isMismatched ? "foreign" : "refused",
@@ -223,6 +239,7 @@
     co_return report;
   }
   if (stream->Head().m_status != kOk) {
+    co_await stream->DiscardBody();
     report.m_outcome = ClassifyErrorStatus(stream->Head().m_status);
     LogRunEnd(aTask, "failed", std::to_string(stream->Head().m_status), report);
     co_return report;
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -50,6 +50,9 @@
   } else if constexpr (std::is_same_v<T, TruncatedResponse> ||
                        std::is_same_v<T, UnnamedVersion>) {
     aVisit("peer", aFailure.m_peer);
+  } else if constexpr (std::is_same_v<T, ResponseTooLarge>) {
+    aVisit("peer", aFailure.m_peer);
+    aVisit("limit-bytes", aFailure.m_limitBytes);
   } else if constexpr (std::is_same_v<T, PeerRefused>) {
     aVisit("peer", aFailure.m_peer);
     aVisit("status", aFailure.m_status);
@@ -202,6 +205,7 @@
         return absl::StatusCode::kDeadlineExceeded;
       },
       [](const TruncatedResponse&) { return absl::StatusCode::kDataLoss; },
+      [](const ResponseTooLarge&) { return absl::StatusCode::kDataLoss; },
       [](const UnnamedVersion&) { return absl::StatusCode::kDataLoss; },
       [](const Overload&) { return absl::StatusCode::kResourceExhausted; },
       [](const VersionConflict&) { return absl::StatusCode::kAborted; },
@@ -237,6 +241,7 @@
                 [](const PeerRefused& aF) { return aF.m_executed; },
                 [](const AlreadySubmitted& aF) { return aF.m_executed; },
                 [](const TruncatedResponse&) { return Executed::Unknown; },
+                [](const ResponseTooLarge&) { return Executed::Unknown; },
                 [](const UnnamedVersion&) { return Executed::Yes; },
                 [](const auto&) { return Executed::No; } },
     aFailure);
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -59,6 +59,14 @@
   std::string m_peer;
 };
 
+/// The response of a peer is larger than this process may buffer.
+struct ResponseTooLarge
+{
+  static constexpr std::string_view kKind = "response-too-large";
+  std::string m_peer;
+  uint64_t m_limitBytes = 0;
+};
+
 /// A peer responded with an HTTP status other than success.
 struct PeerRefused
 {
@@ -198,6 +206,7 @@
                              ConnectionFailed,
                              DeadlineExceeded,
                              TruncatedResponse,
+                             ResponseTooLarge,
                              PeerRefused,
                              Overload,
                              NoUpstream,
--- a/src/core/tests/failuretest.cpp
+++ b/src/core/tests/failuretest.cpp
@@ -14,6 +14,7 @@
     ConnectionFailed{ "127.0.0.1:1", Executed::No },
     DeadlineExceeded{ "call", Executed::Unknown },
     TruncatedResponse{ "peer" },
+    ResponseTooLarge{ "peer", 1024 },
     PeerRefused{ "peer", 503, Executed::Yes },
     Overload{ "queue" },
     NoUpstream{ "songs" },
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -349,7 +349,14 @@
       m_tokenStream.DiscardPartialLine();
       co_return chunk.status();
     }
-    sent = co_await m_exchange.Write(m_tokenStream.TakeCompleteLines(*chunk));
+    const std::string_view lines = m_tokenStream.TakeCompleteLines(*chunk);
+    if (m_tokenStream.IsLineTooLong()) {
+      aUpstreamResponse.Abandon();
+      m_tokenStream.DiscardPartialLine();
+      co_return core::ToStatus(core::ResponseTooLarge{
+        "upstream", TokenStreamProgress::kMaxLineBytes });
+    }
+    sent = co_await m_exchange.Write(lines);
   }
   if (sent.ok()) {
     sent = co_await m_exchange.Finish();
@@ -365,14 +372,12 @@
   response.m_head.m_status = aUpstreamResponse.Head().m_status;
   response.m_head.m_headers =
     EndToEndHeaders(aUpstreamResponse.Head().m_headers);
-  while (!aUpstreamResponse.HasEnded()) {
-    const absl::StatusOr<std::string_view> chunk =
-      co_await aUpstreamResponse.Read(m_retryConstraints.m_deadline);
-    if (!chunk.ok()) {
-      co_return chunk.status();
-    }
-    response.m_body += *chunk;
+  absl::StatusOr<std::string> body = co_await aUpstreamResponse.ReadBody(
+    "upstream", m_retryConstraints.m_deadline);
+  if (!body.ok()) {
+    co_return body.status();
   }
+  response.m_body = *std::move(body);
   m_progress.m_responseStarted = true;
   const absl::Status sent = co_await m_exchange.Respond(std::move(response));
   m_isCallerDisconnected = !sent.ok();
--- a/src/forwarding/internal/tokenstreamprogress.h
+++ b/src/forwarding/internal/tokenstreamprogress.h
@@ -11,6 +11,9 @@
 class TokenStreamProgress
 {
 public:
+  /// Maximum size of a line that has no end yet.
+  static constexpr size_t kMaxLineBytes = 1024UL * 1024;
+
   /// Appends received bytes and returns the lines that are now complete and may
   /// be sent to the caller. The view is valid until the next call.
   std::string_view TakeCompleteLines(std::string_view aChunk);
@@ -18,6 +21,10 @@
   /// Discards an incomplete line after the stream has failed.
   void DiscardPartialLine();
 
+  /// True if the line that is being received exceeds the limit. The stream is
+  /// then not usable any further.
+  bool IsLineTooLong() const { return m_partialLine.size() > kMaxLineBytes; }
+
   /// Returns true if the end marker of the stream has arrived.
   bool HasEnded() const { return m_ended; }
   /// Returns the number of tokens received in complete lines.
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -13,6 +13,7 @@
 #include "core/instant.h"
 #include "http/callabort.h"
 #include "http/message.h"
+#include "http/responsebuffer.h"
 #include "kernel/context.h"
 
 namespace heatherdeal::http {
@@ -38,6 +39,16 @@
   /// Closes the connection, to discard a response that is not the expected one.
   void Abandon();
 
+  /// Reads the rest of the body as a whole. aPeer names the sender in failures.
+  /// Fails like Read, or with ResponseTooLarge; the connection is closed then.
+  boost::asio::awaitable<absl::StatusOr<std::string>> ReadBody(
+    std::string aPeer,
+    core::Instant aDeadline);
+
+  /// Reads and discards the rest of a short body, so that the connection can be
+  /// reused. Gives up on a long or slow one, which closes the connection.
+  boost::asio::awaitable<void> DiscardBody();
+
   /// Returns the next part of the body, or "" at the end of the response. The
   /// view is valid until the next call. Fails with TruncatedResponse or
   /// DeadlineExceeded.
@@ -68,7 +79,9 @@
 class Client
 {
 public:
-  Client(kernel::Context& aContext, size_t aLoopIndex);
+  Client(kernel::Context& aContext,
+         size_t aLoopIndex,
+         std::shared_ptr<ResponseMemory> aMemory);
   ~Client();
 
   /// Sends aRequest and reads the head of the response. If no byte of the
@@ -80,7 +93,8 @@
              core::Instant aDeadline,
              std::shared_ptr<CallAbort> aAbort = nullptr);
 
-  /// Sends aRequest and reads the whole response.
+  /// Sends aRequest and reads the whole response. Fails with ResponseTooLarge
+  /// if its body exceeds the limits.
   boost::asio::awaitable<absl::StatusOr<Response>> Call(
     core::Endpoint aPeer,
     Request aRequest,
@@ -88,6 +102,9 @@
     core::Instant aDeadline,
     std::shared_ptr<CallAbort> aAbort = nullptr);
 
+  /// Returns the memory that limits buffered responses.
+  const std::shared_ptr<ResponseMemory>& Memory() const { return m_memory; }
+
   /// Returns a connection to the pool after its response was read.
   void ReturnConnection(std::unique_ptr<PooledConnection> aConnection);
 
@@ -98,6 +115,7 @@
 
   kernel::Context& m_context;
   size_t m_loopIndex;
+  std::shared_ptr<ResponseMemory> m_memory;
   std::map<core::Endpoint, std::vector<std::unique_ptr<PooledConnection>>>
     m_idleConnections;
 };
@@ -106,7 +124,8 @@
 class Clients
 {
 public:
-  explicit Clients(kernel::Context& aContext);
+  explicit Clients(kernel::Context& aContext,
+                   const ResponseLimits& aLimits = {});
 
   Client& ForLoop(size_t aLoopIndex) { return *m_clients[aLoopIndex]; }
 
--- a/src/http/httpmodule.cpp
+++ b/src/http/httpmodule.cpp
@@ -18,6 +18,8 @@
 constexpr int64_t kMaxPort = 65535;
 constexpr int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr int64_t kMaxBodyBytes = 1024LL * 1024 * 1024;
+// Lists of objects and pages of results have up to one megabyte.
+constexpr int64_t kMinResponseBytes = 2LL * 1024 * 1024;
 constexpr int64_t kMaxConnections = 1'000'000;
 constexpr int64_t kMaxTimeoutMilliseconds = 3'600'000;
 
@@ -41,6 +43,16 @@
     aReader.MillisecondsOr("idle_time_ms", range, settings.m_idleTimeout);
   settings.m_writeTimeout =
     aReader.MillisecondsOr("write_time_ms", range, settings.m_writeTimeout);
+  settings.m_responseLimits.m_maxResponseBytes =
+    static_cast<uint64_t>(aReader.IntegerOr(
+      "response_bytes",
+      { kMinResponseBytes, kMaxBodyBytes },
+      static_cast<int64_t>(settings.m_responseLimits.m_maxResponseBytes)));
+  settings.m_responseLimits.m_maxBufferedBytes =
+    static_cast<uint64_t>(aReader.IntegerOr(
+      "buffered_response_bytes",
+      { kMinResponseBytes, kMaxBodyBytes },
+      static_cast<int64_t>(settings.m_responseLimits.m_maxBufferedBytes)));
   settings.m_operatorToken = aReader.TextOr("operator_token", "");
   return settings;
 }
@@ -103,7 +115,8 @@
 {
   const auto& settings = std::any_cast<const ServerSettings&>(aSettings);
   auto server = std::make_shared<Server>(aContext, settings);
-  aContext.Provide(std::make_shared<Clients>(aContext));
+  aContext.Provide(
+    std::make_shared<Clients>(aContext, settings.m_responseLimits));
   aContext.Provide(server);
   server->AddRoute({ "GET", "/healthz", HandleHealthRequest });
   server->AddRoute({ "GET", "/readyz", [&aContext](Exchange& aExchange) {
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -26,8 +26,14 @@
 constexpr core::Duration kDefaultIdleTimeout = std::chrono::seconds(20);
 // The round trip to hosts and upstreams takes a few milliseconds.
 constexpr core::Duration kConnectTimeout = std::chrono::milliseconds(400);
-constexpr uint64_t kMaxResponseBytes = 256ULL * 1024 * 1024;
+// Responses with informational status that a peer may send before the final
+// one.
+constexpr uint32_t kMaxInformationalResponses = 8;
+constexpr uint32_t kFirstFinalStatus = 200;
 constexpr size_t kReadBufferBytes = 16 * 1024;
+// Limits for the rest of a response whose body is not needed.
+constexpr size_t kMaxDiscardedBytes = 16 * 1024;
+constexpr core::Duration kDiscardTimeout = std::chrono::milliseconds(100);
 // A peer that disappears without closing its connections is detected after
 // about three seconds.
 constexpr int kKeepAliveIdleSeconds = 1;
@@ -185,17 +191,24 @@
   if (error) {
     co_return FailureAfterSending(aConnection.m_peer, error);
   }
-  aConnection.m_parser.emplace();
-  aConnection.m_parser->body_limit(kMaxResponseBytes);
-  aConnection.m_parser->skip(aRequest.m_method == "HEAD");
-  co_await beast::http::async_read_header(aConnection.m_stream,
-                                          aConnection.m_buffer,
-                                          *aConnection.m_parser,
-                                          RedirectError(error));
-  if (error) {
-    co_return FailureAfterSending(aConnection.m_peer, error);
+  for (uint32_t i = 0; i <= kMaxInformationalResponses; ++i) {
+    aConnection.m_parser.emplace();
+    // Whoever reads the body limits its size.
+    aConnection.m_parser->body_limit(boost::none);
+    aConnection.m_parser->skip(aRequest.m_method == "HEAD");
+    co_await beast::http::async_read_header(aConnection.m_stream,
+                                            aConnection.m_buffer,
+                                            *aConnection.m_parser,
+                                            RedirectError(error));
+    if (error) {
+      co_return FailureAfterSending(aConnection.m_peer, error);
+    }
+    if (aConnection.m_parser->get().result_int() >= kFirstFinalStatus) {
+      co_return ToResponseHead(aConnection.m_parser->get());
+    }
   }
-  co_return ToResponseHead(aConnection.m_parser->get());
+  co_return core::ToStatus(core::ConnectionFailed{ ToText(aConnection.m_peer),
+                                                   core::Executed::Unknown });
 }
 
 } // namespace
@@ -240,44 +253,77 @@
   return m_connection->m_parser->is_done();
 }
 
+asio::awaitable<void>
+ResponseStream::DiscardBody()
+{
+  const core::Instant deadline = kernel::Now() + kDiscardTimeout;
+  size_t discardedBytes = 0;
+  while (!HasEnded() && discardedBytes <= kMaxDiscardedBytes) {
+    const absl::StatusOr<std::string_view> part = co_await Read(deadline);
+    if (!part.ok()) {
+      co_return;
+    }
+    discardedBytes += part->size();
+  }
+}
+
+asio::awaitable<absl::StatusOr<std::string>>
+ResponseStream::ReadBody(std::string aPeer, core::Instant aDeadline)
+{
+  ResponseBuffer buffer(m_connection->m_client.Memory(), std::move(aPeer));
+  while (!HasEnded()) {
+    const absl::StatusOr<std::string_view> part = co_await Read(aDeadline);
+    const absl::Status status =
+      part.ok() ? buffer.Append(*part) : part.status();
+    if (!status.ok()) {
+      Abandon();
+      co_return status;
+    }
+  }
+  co_return buffer.Take();
+}
+
 asio::awaitable<absl::StatusOr<std::string_view>>
 ResponseStream::Read(core::Instant aDeadline)
 {
   auto& parser = *m_connection->m_parser;
-  if (parser.is_done()) {
-    co_return std::string_view();
-  }
   m_readBuffer.resize(kReadBufferBytes);
-  auto& body = parser.get().body();
-  body.data = m_readBuffer.data();
-  body.size = m_readBuffer.size();
-  boost::system::error_code error;
-  m_connection->m_stream.expires_at(kernel::ToSteady(aDeadline));
-  co_await beast::http::async_read_some(m_connection->m_stream,
-                                        m_connection->m_buffer,
-                                        parser,
-                                        RedirectError(error));
-  if (error == beast::http::error::need_buffer) {
-    error = {};
-  }
-  if (error == beast::error::timeout) {
-    co_return core::ToStatus(core::DeadlineExceeded{
-      ToText(m_connection->m_peer), core::Executed::Unknown });
-  }
-  if (error) {
-    co_return core::ToStatus(
-      core::TruncatedResponse{ ToText(m_connection->m_peer) });
-  }
-  const size_t size = kReadBufferBytes - body.size;
-  if (size == 0 && !parser.is_done()) {
-    co_return co_await Read(aDeadline);
+  // A read may consume only framing, such as the size of a chunk.
+  while (!parser.is_done()) {
+    auto& body = parser.get().body();
+    body.data = m_readBuffer.data();
+    body.size = m_readBuffer.size();
+    boost::system::error_code error;
+    m_connection->m_stream.expires_at(kernel::ToSteady(aDeadline));
+    co_await beast::http::async_read_some(m_connection->m_stream,
+                                          m_connection->m_buffer,
+                                          parser,
+                                          RedirectError(error));
+    if (error == beast::http::error::need_buffer) {
+      error = {};
+    }
+    if (error == beast::error::timeout) {
+      co_return core::ToStatus(core::DeadlineExceeded{
+        ToText(m_connection->m_peer), core::Executed::Unknown });
+    }
+    if (error) {
+      co_return core::ToStatus(
+        core::TruncatedResponse{ ToText(m_connection->m_peer) });
+    }
+    const size_t size = kReadBufferBytes - body.size;
+    if (size > 0) {
+      co_return std::string_view(m_readBuffer.data(), size);
+    }
   }
-  co_return std::string_view(m_readBuffer.data(), size);
+  co_return std::string_view();
 }
 
-Client::Client(kernel::Context& aContext, size_t aLoopIndex)
+Client::Client(kernel::Context& aContext,
+               size_t aLoopIndex,
+               std::shared_ptr<ResponseMemory> aMemory)
   : m_context(aContext)
   , m_loopIndex(aLoopIndex)
+  , m_memory(std::move(aMemory))
 {
 }
 
@@ -402,6 +448,7 @@
              core::Instant aDeadline,
              std::shared_ptr<CallAbort> aAbort)
 {
+  std::string peer = ToText(aPeer);
   absl::StatusOr<std::unique_ptr<ResponseStream>> stream =
     co_await OpenStream(std::move(aPeer),
                         std::move(aRequest),
@@ -413,21 +460,20 @@
   }
   Response response;
   response.m_head = (*stream)->Head();
-  while (!(*stream)->HasEnded()) {
-    const absl::StatusOr<std::string_view> part =
-      co_await (*stream)->Read(aDeadline);
-    if (!part.ok()) {
-      co_return part.status();
-    }
-    response.m_body += *part;
+  absl::StatusOr<std::string> body =
+    co_await (*stream)->ReadBody(std::move(peer), aDeadline);
+  if (!body.ok()) {
+    co_return body.status();
   }
+  response.m_body = *std::move(body);
   co_return response;
 }
 
-Clients::Clients(kernel::Context& aContext)
+Clients::Clients(kernel::Context& aContext, const ResponseLimits& aLimits)
 {
+  const auto memory = std::make_shared<ResponseMemory>(aLimits);
   for (size_t i = 0; i < aContext.Traffic().Count(); ++i) {
-    m_clients.push_back(std::make_unique<Client>(aContext, i));
+    m_clients.push_back(std::make_unique<Client>(aContext, i, memory));
   }
 }
 
--- a/src/http/internal/pooledconnection.h
+++ b/src/http/internal/pooledconnection.h
@@ -12,6 +12,10 @@
 
 namespace heatherdeal::http {
 
+/// Maximum size of what cannot be parsed yet: a head, the extension of a chunk
+/// or a trailer, besides the body that arrived with it.
+inline constexpr size_t kMaxUnparsedBytes = 64UL * 1024;
+
 /// A connection to a peer. At most one request is in flight on it.
 class PooledConnection
 {
@@ -21,6 +25,7 @@
                    core::Endpoint aPeer)
     : m_client(aClient)
     , m_stream(aLoop)
+    , m_buffer(kMaxUnparsedBytes)
     , m_peer(std::move(aPeer))
   {
   }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -8,6 +8,7 @@
 #include "core/ids.h"
 #include "core/instant.h"
 #include "http/exchange.h"
+#include "http/responsebuffer.h"
 #include "kernel/context.h"
 
 namespace heatherdeal::http {
@@ -27,6 +28,8 @@
   core::Duration m_writeTimeout = std::chrono::seconds(30);
   /// Token that authorizes operator requests; empty if none are allowed.
   std::string m_operatorToken;
+  /// Limits of the responses that this process receives.
+  ResponseLimits m_responseLimits;
 };
 
 /// Maps requests by method and path prefix to a handler.
--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -1,5 +1,7 @@
+#include "boost/asio/co_spawn.hpp"
 #include "boost/asio/steady_timer.hpp"
 #include "boost/asio/use_awaitable.hpp"
+#include "boost/asio/use_future.hpp"
 #include "catch2/catch.hpp"
 
 #include "http/tests/loopback.h"
@@ -50,6 +52,24 @@
   (void)co_await aExchange.Finish();
 }
 
+/// Sends a request and discards the body of its response. Returns whether there
+/// was one.
+boost::asio::awaitable<bool>
+CallAndDiscard(Client& aClient, core::Endpoint aPeer)
+{
+  Request request;
+  auto stream = co_await aClient.OpenStream(std::move(aPeer),
+                                            std::move(request),
+                                            Reuse::Allowed,
+                                            kernel::Now() + seconds(5));
+  if (!stream.ok()) {
+    co_return false;
+  }
+  const std::unique_ptr<ResponseStream> response = *std::move(stream);
+  co_await response->DiscardBody();
+  co_return true;
+}
+
 std::string
 StatusLine(const std::string& aResponse)
 {
@@ -193,6 +213,33 @@
   CHECK(core::ExecutedOf(FailureOf(response.status())) == core::Executed::No);
 }
 
+TEST_CASE("a connection whose response is discarded is used again")
+{
+  Loopback loopback(SmallLimitSettings());
+  std::atomic<int> requests{ 0 };
+  loopback.Http().AddRoute(
+    { "*", "/", [&](Exchange& aExchange) -> boost::asio::awaitable<void> {
+       requests.fetch_add(1);
+       Response busy;
+       busy.m_head.m_status = 503;
+       busy.m_body = std::string(500, 'x');
+       co_await aExchange.RespondIgnoringErrors(std::move(busy));
+     } });
+  loopback.Listen();
+  Client& client = loopback.Kernel().Get<Clients>()->ForLoop(0);
+  for (int i = 0; i < 10; ++i) {
+    const bool opened =
+      boost::asio::co_spawn(loopback.Kernel().Traffic().Loop(0),
+                            CallAndDiscard(client, loopback.Self()),
+                            boost::asio::use_future)
+        .get();
+    CHECK(opened);
+  }
+  CHECK(requests.load() == 10);
+  CHECK(loopback.Http().OpenConnections().load() == 1);
+  CHECK(CounterValue(loopback, "http.idle_connection_dead") == 0);
+}
+
 TEST_CASE("a late response is never read as the response to the next request")
 {
   Loopback loopback(SmallLimitSettings());
--- a/src/relay/eventstream.h
+++ b/src/relay/eventstream.h
@@ -25,6 +25,9 @@
 class EventStreamParser
 {
 public:
+  /// Maximum size of an event that is not complete yet.
+  static constexpr size_t kMaxEventBytes = 1024UL * 1024;
+
   /// aVersionField is the name of the event field that holds the weight
   /// version.
   explicit EventStreamParser(std::string_view aVersionField);
@@ -32,6 +35,13 @@
   /// Appends aBytes to the stream and returns the events that they complete.
   std::vector<StreamEvent> ParseChunk(std::string_view aBytes);
 
+  /// True if the event that is being received exceeds the limit. The stream is
+  /// then not usable any further.
+  bool IsEventTooLarge() const
+  {
+    return m_unparsed.size() + m_currentEvent.m_data.size() > kMaxEventBytes;
+  }
+
 private:
   void ParseLine(std::string_view aLine, std::vector<StreamEvent>& aEvents);
   void ApplyField(std::string_view aName, std::string_view aValue);
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -77,6 +77,7 @@
       core::TruncatedResponse{ aReservation.Chosen().m_id.m_value });
   }
   if (served == nullptr) {
+    co_await aStream.DiscardBody();
     co_return core::ToStatus(
       MakeNotExecutedFailure(aReservation, head.m_status));
   }
@@ -88,14 +89,12 @@
   RoutedResponse response;
   response.m_response.m_head = head;
   response.m_proof = served->m_proof;
-  while (!aStream.HasEnded()) {
-    const absl::StatusOr<std::string_view> chunk =
-      co_await aStream.Read(aDeadline);
-    if (!chunk.ok()) {
-      co_return chunk.status();
-    }
-    response.m_response.m_body += *chunk;
+  absl::StatusOr<std::string> body =
+    co_await aStream.ReadBody(aReservation.Chosen().m_id.m_value, aDeadline);
+  if (!body.ok()) {
+    co_return body.status();
   }
+  response.m_response.m_body = *std::move(body);
   co_return response;
 }
 
@@ -142,6 +141,9 @@
     co_await ReadResponse(*stream, aCall, *reservation, deadline);
   if (response.ok()) {
     reservation->ReportSuccess();
+  } else if (core::ExecutedOf(http::FailureOf(response.status())) !=
+             core::Executed::No) {
+    reservation->ReportFailure(kernel::Now());
   }
   co_return response;
 }
--- a/src/relay/tests/eventstreamtest.cpp
+++ b/src/relay/tests/eventstreamtest.cpp
@@ -42,6 +42,34 @@
   CHECK(parser.ParseChunk("id: 2\ndata: tw").empty());
 }
 
+TEST_CASE("an event without end is noticed, in one line or in many")
+{
+  const std::string part(64UL * 1024, 'x');
+  EventStreamParser oneLine("weights");
+  EventStreamParser manyLines("weights");
+  size_t oneLineParts = 0;
+  size_t manyLinesParts = 0;
+  while (!oneLine.IsEventTooLarge() && oneLineParts < 100) {
+    oneLine.ParseChunk(part);
+    oneLineParts += 1;
+  }
+  while (!manyLines.IsEventTooLarge() && manyLinesParts < 100) {
+    manyLines.ParseChunk("data: " + part + "\n");
+    manyLinesParts += 1;
+  }
+  // The limit is 16 parts.
+  CHECK(oneLineParts == 17);
+  CHECK(manyLinesParts <= 17);
+}
+
+TEST_CASE("an event below the limit is not too large")
+{
+  EventStreamParser parser("weights");
+  const std::string data(EventStreamParser::kMaxEventBytes / 2, 'x');
+  CHECK(parser.ParseChunk("data: " + data + "\n\n").size() == 1);
+  CHECK_FALSE(parser.IsEventTooLarge());
+}
+
 TEST_CASE("ids and versions that are not numbers are ignored")
 {
   EventStreamParser parser("weights");
