Report a host as empty only when no placement names it

Cause, read in the code: a retiring host ignored whether the writes that hand its batches over succeeded, reported itself empty, and was removed with placements that named it; the batches then waited for the suspicion timeout. A batch that was accepted while its host handed over stayed there. An ended batch whose owner had died was never removed. A host that knows no owner made the gateway remember an empty one. Runs that a host aborted itself counted towards ejecting their engine. The oldest batch was found by its deadline, which depends on its route.

Change: HandOver tells whether a batch is left and is repeated until none is, for retirements and before exit; a host that hands over refuses batches as not run; expired batches are taken over to be removed; the other three as named.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -116,9 +116,12 @@
   void Start();
   /// Continues for the drain time, then hands every batch over.
   void StartDraining();
-  /// Clears this host as the owner of all its batches. Calls aDone when all
-  /// writes have finished, whether or not they succeeded.
-  void HandOver(std::function<void()> aDone);
+  /// Receives whether no stored placement names this host any more.
+  using HandOverCallback = std::function<void(bool aIsEmpty)>;
+  /// Clears this host as the owner of all its batches, and accepts no further
+  /// ones. Calls aDone when all writes have finished. May be called again to
+  /// retry the writes that failed.
+  void HandOver(HandOverCallback aDone);
   /// True while an owned batch has neither ended nor completed.
   bool HasOpenBatches() const;
 
@@ -185,6 +188,10 @@
   /// Takes over the orphaned batches for which this host is next in the
   /// ranking.
   void TakeOverOrphans();
+  /// Hands over before the process ends, until no batch is left.
+  void HandOverBeforeExit();
+  /// True if the batch is older than the retention time.
+  bool IsExpired(const Placement& aPlacement) const;
   void TakeOverBatch(const Placement& aPlacement);
   /// True if the owner has handed the batch over or gossip no longer hears from
   /// the owner.
@@ -301,6 +308,8 @@
   kernel::Shutdown::Hold m_drainHold;
   core::Instant m_startedAt{};
   core::Instant m_nextMoveCheck{};
+  /// True once this host has begun to hand its batches over.
+  bool m_isHandingOver = false;
 };
 
 } // namespace heatherdeal::batches
--- a/src/batches/internal/accepting.cpp
+++ b/src/batches/internal/accepting.cpp
@@ -35,6 +35,10 @@
     aDone(Accepted{});
     return;
   }
+  if (m_isHandingOver) {
+    aDone(NotAccepted{ core::Draining{ m_context.Self().m_host } });
+    return;
+  }
   std::vector<SubmitCallback>& callbacks = m_pendingSubmissions[id];
   callbacks.push_back(std::move(aDone));
   if (callbacks.size() > 1) {
@@ -148,6 +152,11 @@
     ActivateBatch(owned, aSubmission);
   }
   CompleteSubmission(aSubmission->m_id, Accepted{});
+  // Another host continues a batch whose placement was written while this host
+  // handed its batches over.
+  if (m_isHandingOver) {
+    HandOver([](bool) {});
+  }
 }
 
 } // namespace heatherdeal::batches
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -30,8 +30,7 @@
                           m_housekeepingTimer.Set(kernel::Now() +
                                                   kHousekeepingInterval);
                         })
-  , m_drainTimer(aContext.Control(),
-                 [this] { HandOver([this] { m_drainHold.reset(); }); })
+  , m_drainTimer(aContext.Control(), [this] { HandOverBeforeExit(); })
   , m_startedAt(kernel::Now())
 {
 }
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -163,8 +163,11 @@
     if (status == kMisdirected) {
       const std::string owner(
         http::FindHeader(response->m_head.m_headers, kOwnerHeader));
-      CacheOwner(aBatch, owner);
-      MoveToFront(candidates, owner);
+      // A host that does not know the owner names none.
+      if (!owner.empty()) {
+        CacheOwner(aBatch, owner);
+        MoveToFront(candidates, owner);
+      }
       continue;
     }
     if (status == kUnavailable) {
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -205,7 +205,10 @@
                                             aTask.m_abort);
   if (!opened.ok()) {
     report.m_outcome = RunInterrupted{};
-    aTask.m_reservation->ReportFailure(kernel::Now());
+    // A run that this host has aborted itself says nothing about the engine.
+    if (!aTask.m_abort->IsAbortRequested()) {
+      aTask.m_reservation->ReportFailure(kernel::Now());
+    }
     LogRunEnd(aTask, "broken", http::DescribeStatus(opened.status()), report);
     co_return report;
   }
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -15,6 +15,7 @@
 // to hear from them.
 constexpr core::Duration kGossipWarmUpTime = std::chrono::seconds(4);
 constexpr core::Duration kTakeoverInterval = std::chrono::milliseconds(800);
+constexpr core::Duration kHandOverRetryDelay = std::chrono::milliseconds(300);
 
 int64_t
 UnixMilliseconds()
@@ -220,7 +221,9 @@
   }
   std::vector<Placement> orphans;
   for (const auto& [id, placement] : m_placements) {
-    const bool needsOwner = !placement.m_ended && IsOrphaned(placement);
+    // An ended batch is taken over only to be removed.
+    const bool isNeeded = !placement.m_ended || IsExpired(placement);
+    const bool needsOwner = isNeeded && IsOrphaned(placement);
     if (needsOwner && IsThisHostNextOwner(placement.m_batch)) {
       orphans.push_back(placement);
     }
@@ -230,16 +233,21 @@
   }
 }
 
-void
-Batches::RemoveExpiredBatches()
+bool
+Batches::IsExpired(const Placement& aPlacement) const
 {
   const int64_t oldest =
     UnixMilliseconds() - kernel::Milliseconds(m_settings.m_retention);
+  return aPlacement.m_acceptedAt < oldest;
+}
+
+void
+Batches::RemoveExpiredBatches()
+{
   std::vector<OwnedPtr> expired;
   for (const auto& [id, owned] : m_owned) {
     const auto placement = m_placements.find(id);
-    if (placement != m_placements.end() &&
-        placement->second.m_acceptedAt < oldest) {
+    if (placement != m_placements.end() && IsExpired(placement->second)) {
       expired.push_back(owned);
     }
   }
@@ -265,15 +273,16 @@
 }
 
 void
-Batches::HandOver(std::function<void()> aDone)
+Batches::HandOver(HandOverCallback aDone)
 {
+  m_isHandingOver = true;
   // Starts at 1, so that aDone is called only after all writes were started,
   // and also if there are none.
   auto remaining = std::make_shared<size_t>(1);
-  const auto finishWrite = [remaining, aDone] {
+  const auto finishWrite = [self = shared_from_this(), remaining, aDone] {
     *remaining -= 1;
     if (*remaining == 0) {
-      aDone();
+      aDone(self->m_owned.empty());
     }
   };
   std::vector<Placement> own;
@@ -285,14 +294,44 @@
   }
   for (Placement& placement : own) {
     *remaining += 1;
+    const BatchId batch = placement.m_batch;
     placement.m_owner.clear();
     WritePlacement(
       std::move(placement),
-      [finishWrite](const absl::StatusOr<uint64_t>&) { finishWrite(); });
+      [self = shared_from_this(), batch, finishWrite](
+        const absl::StatusOr<uint64_t>& aVersion) {
+        if (aVersion.ok()) {
+          finishWrite();
+          return;
+        }
+        kernel::LogEvent(
+          kernel::LogLevel::Warning,
+          "batches",
+          "hand-over-failed",
+          { { "batch", batch.m_value },
+            { "reason", http::DescribeStatus(aVersion.status()) } });
+        // The placement may have changed, or the write may have
+        // taken effect although its response was lost.
+        self->FetchPlacement(
+          batch,
+          [finishWrite](const absl::StatusOr<Placement>&) { finishWrite(); });
+      });
   }
   finishWrite();
 }
 
+void
+Batches::HandOverBeforeExit()
+{
+  HandOver([self = shared_from_this()](bool aIsEmpty) {
+    if (aIsEmpty) {
+      self->m_drainHold.reset();
+      return;
+    }
+    self->m_drainTimer.Set(kernel::Now() + kHandOverRetryDelay);
+  });
+}
+
 bool
 Batches::IsEnded(std::string_view aBatch) const
 {
--- a/src/batches/internal/retirement.cpp
+++ b/src/batches/internal/retirement.cpp
@@ -17,6 +17,7 @@
 constexpr core::Duration kHandOverMargin = std::chrono::seconds(3);
 constexpr core::Duration kCheckInterval = std::chrono::milliseconds(200);
 constexpr core::Duration kReportRetryDelay = std::chrono::milliseconds(500);
+constexpr core::Duration kHandOverRetryDelay = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -88,7 +89,11 @@
     ReportState(kEmpty);
     return;
   }
-  m_batches->HandOver([self = shared_from_this()] {
+  m_batches->HandOver([self = shared_from_this()](bool aIsEmpty) {
+    if (!aIsEmpty) {
+      self->m_checkTimer.Set(kernel::Now() + kHandOverRetryDelay);
+      return;
+    }
     self->m_handedOver = true;
     self->ReportState(kEmpty);
   });
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -150,7 +150,7 @@
   }
   // The oldest batch comes first, because its trainer has waited longest.
   std::ranges::sort(openBatches, {}, [](const OwnedPtr& aOwned) {
-    return aOwned->m_run.m_policy.m_itemDeadline;
+    return aOwned->m_run.m_submission->m_acceptedAt;
   });
   PoolViews views;
   for (const OwnedPtr& owned : openBatches) {
