Keep entries after an outage only if it lasted long enough for them to expire

A worker's entry was removed at 23.307 s, while the store rejected one rollout host again and again for 40 ms at a time. That host took the missing entry for one that had lapsed in an outage, kept it for 1.9 s, and told so to the hosts that follow it; a front that had seen the removal through another host sent a request 2.07 s after it.

Change: entries are kept only after an outage of a second and more; entries lapse after several missed heartbeats. After a rejection, when a list was read through another host, the direct path is tried again after 0.3 s, not at once.

--- a/src/http/tests/endlesspeer.cpp
+++ b/src/http/tests/endlesspeer.cpp
@@ -3,6 +3,8 @@
 #include "boost/asio/buffer.hpp"
 #include "boost/asio/write.hpp"
 
+#include "http/tests/loopback.h"
+
 namespace heatherdeal::http {
 
 namespace {
@@ -18,7 +20,7 @@
   : m_start(std::move(aStart))
   , m_repeated(std::move(aRepeated))
   , m_pause(aPause)
-  , m_acceptor(m_loop, { asio::ip::make_address("127.0.0.1"), 0 })
+  , m_acceptor(m_loop, LoopbackEndpoint(0))
   , m_thread([this] { AcceptConnections(); })
 {
 }
@@ -26,11 +28,7 @@
 EndlessPeer::~EndlessPeer()
 {
   m_stopping.store(true);
-  // Unblocks the accept call.
-  asio::io_context loop;
-  tcp::socket socket(loop);
-  boost::system::error_code ignored;
-  socket.connect(m_acceptor.local_endpoint(), ignored);
+  UnblockAccept(m_acceptor);
   m_thread.join();
   for (std::thread& writer : m_writers) {
     writer.join();
--- a/src/http/tests/loopback.cpp
+++ b/src/http/tests/loopback.cpp
@@ -15,13 +15,22 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+} // namespace
+
 tcp::endpoint
 LoopbackEndpoint(uint16_t aPort)
 {
   return { asio::ip::make_address("127.0.0.1"), aPort };
 }
 
-} // namespace
+void
+UnblockAccept(const tcp::acceptor& aAcceptor)
+{
+  asio::io_context loop;
+  tcp::socket socket(loop);
+  boost::system::error_code ignored;
+  socket.connect(aAcceptor.local_endpoint(), ignored);
+}
 
 ServerSettings
 AnyPort()
@@ -97,11 +106,7 @@
 RawServer::~RawServer()
 {
   m_stopping.store(true);
-  // Unblock the accept call.
-  asio::io_context loop;
-  tcp::socket socket(loop);
-  boost::system::error_code ignored;
-  socket.connect(m_acceptor.local_endpoint(), ignored);
+  UnblockAccept(m_acceptor);
   m_thread.join();
 }
 
--- a/src/http/tests/loopback.h
+++ b/src/http/tests/loopback.h
@@ -49,6 +49,14 @@
   std::thread m_controlThread;
 };
 
+/// Returns the endpoint of a port on the loopback address.
+boost::asio::ip::tcp::endpoint
+LoopbackEndpoint(uint16_t aPort);
+
+/// Connects to the acceptor, so that a blocking accept call returns.
+void
+UnblockAccept(const boost::asio::ip::tcp::acceptor& aAcceptor);
+
 /// A server that responds to every connection with fixed bytes and closes it.
 class RawServer
 {
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -35,6 +35,12 @@
 // How long the relays' word is taken before this host calls the store itself.
 // The relays may be cut off from a store that others can reach.
 constexpr core::Duration kTrustRelaysFor = std::chrono::milliseconds(900);
+// Objects expire after several missed heartbeats of their writers. An object
+// that is missing after a shorter outage was removed.
+constexpr core::Duration kMinOutageForExpiry = std::chrono::seconds(1);
+// Delay before the store is called directly again, after it has rejected this
+// host and a list was read through another one.
+constexpr core::Duration kRejectedRetryDelay = std::chrono::milliseconds(300);
 constexpr uint32_t kUnavailable = 503;
 
 /// True if a relay responded that it cannot reach the store.
@@ -229,8 +235,10 @@
     }
     m_relaysUnavailableSince.reset();
     const bool isAfterOutage = m_storeLostAt.has_value();
+    const bool mayHaveExpired =
+      isAfterOutage && kernel::Now() - *m_storeLostAt >= kMinOutageForExpiry;
     RecordReachability(list.status());
-    if (isAfterOutage && list->m_isFullList && relay == nullptr) {
+    if (mayHaveExpired && list->m_isFullList && relay == nullptr) {
       RetainExpiredObjects(*list);
     }
     DropExpiredObjects();
@@ -248,7 +256,12 @@
       ReportMissedChanges(before);
     }
     NotifyChanged();
-    if (relay == nullptr && m_options.m_expiryGrace > core::Duration::zero()) {
+    const bool wasRejected =
+      isAfterOutage && relay == nullptr && m_transport->IsDirectSuspended();
+    if (wasRejected) {
+      co_await kernel::SleepUntil(kernel::Now() + kRejectedRetryDelay);
+    } else if (relay == nullptr &&
+               m_options.m_expiryGrace > core::Duration::zero()) {
       // Hosts change often and one at a time, so several changes are batched
       // into one call.
       co_await kernel::SleepUntil(kernel::Now() + kChangeBatchingDelay);
--- a/src/objectstore/internal/storetransport.cpp
+++ b/src/objectstore/internal/storetransport.cpp
@@ -65,6 +65,12 @@
   m_relays.Publish(std::move(aRelays));
 }
 
+bool
+StoreTransport::IsDirectSuspended() const
+{
+  return kernel::Now() < m_directRetryAt;
+}
+
 bool
 StoreTransport::TryStartProbe()
 {
@@ -128,11 +134,10 @@
 StoreTransport::Send(http::Request aRequest, core::Instant aDeadline)
 {
   const auto relays = m_relays.Read();
-  const bool isDirectSuspended = kernel::Now() < m_directRetryAt;
   absl::StatusOr<http::Response> directResponse =
     core::ToStatus(core::NoUpstream{ "store" });
   bool wasTriedDirectly = false;
-  if (!isDirectSuspended || relays->empty()) {
+  if (!IsDirectSuspended() || relays->empty()) {
     wasTriedDirectly = true;
     const core::Instant attemptDeadline =
       relays->empty() ? aDeadline
--- a/src/objectstore/internal/storetransport.h
+++ b/src/objectstore/internal/storetransport.h
@@ -29,6 +29,9 @@
     http::Request aRequest,
     core::Instant aDeadline);
 
+  /// True if calls avoid the direct path, because the store has rejected one.
+  bool IsDirectSuspended() const;
+
   /// True if this host may call the store although relays report that it cannot
   /// be reached. Few such calls are made, because all hosts would make them.
   bool TryStartProbe();
