Let a host whose relays are cut off stay on the store's own watch

Cause, read in the change of followers in an outage: a host whose relays report an outage probed the store once in 2 s even after the store had answered it, so its news could be two seconds old while only the relays were cut off.

Change: once the store has answered, the host may go on watching it; the relays are tried again after each change.

Test: objectstoretest.cpp, "a host whose relays are cut off from the store watches the store itself".

--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -233,7 +233,11 @@
       co_await BackOff();
       continue;
     }
-    m_relaysUnavailableSince.reset();
+    if (relay != nullptr) {
+      m_relaysUnavailableSince.reset();
+    } else {
+      m_transport->AllowProbe();
+    }
     const bool isAfterOutage = m_storeLostAt.has_value();
     const bool mayHaveExpired =
       isAfterOutage && kernel::Now() - *m_storeLostAt >= kMinOutageForExpiry;
--- a/src/objectstore/internal/storetransport.h
+++ b/src/objectstore/internal/storetransport.h
@@ -35,6 +35,8 @@
   /// True if this host may call the store although relays report that it cannot
   /// be reached. Few such calls are made, because all hosts would make them.
   bool TryStartProbe();
+  /// Permits the next such call at once, because the store has responded.
+  void AllowProbe() { m_nextProbeAt = core::Instant{}; }
 
   /// Forwards a request of another host directly to the store.
   boost::asio::awaitable<void> ForwardRelayedCall(http::Exchange& aExchange);
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -397,6 +397,33 @@
   CHECK(store.m_requests.load() <= 2);
 }
 
+TEST_CASE(
+  "a host whose relays are cut off from the store watches the store itself")
+{
+  constexpr uint32_t kUnavailable = 503;
+  StoreFixture store;
+  ScriptedStore relay({ ErrorResponse(kUnavailable) });
+  HostPair hosts(store.m_loopback.Self());
+  const std::vector<core::Endpoint> relays{ relay.m_loopback.Self() };
+  hosts.m_remoteClient->SetWatchRelays(relays);
+  std::mutex mutex;
+  std::string lastValue;
+  hosts.Watch(lastValue, mutex);
+  uint64_t version = 0;
+  size_t relayRequests = 0;
+  for (const std::string value : { "a", "b", "c", "d" }) {
+    const auto written = store.Write(version, value);
+    REQUIRE(written.ok());
+    version = *written;
+    CHECK(WaitForValue(lastValue, mutex, value));
+    if (value == "b") {
+      relayRequests = relay.m_requests.load();
+    }
+  }
+  // The relay is asked again after each change, not while the store is watched.
+  CHECK(relay.m_requests.load() <= relayRequests + 4);
+}
+
 TEST_CASE(
   "a starting host lists a kind from a bootstrap relay, without calling "
   "the store")
