--- a/src/batches/decisions/owners.cpp
+++ b/src/batches/decisions/owners.cpp
@@ -10,9 +10,19 @@
 
 // All hosts must rank the active owners by the same key.
 constexpr std::string_view kActiveOwnersKey = "active batch owners";
+constexpr size_t kMinActiveOwners = 2;
+constexpr size_t kUpstreamsPerOwner = 100;
 
 } // namespace
 
+size_t
+CountActiveOwners(size_t aUpstreams)
+{
+  const size_t needed =
+    (aUpstreams + kUpstreamsPerOwner - 1) / kUpstreamsPerOwner;
+  return std::max(kMinActiveOwners, needed);
+}
+
 std::vector<std::string>
 RankOwners(std::span<const std::string> aHosts,
            std::string_view aBatch,
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -72,13 +72,14 @@
     (m_gossip->IsAvailable(host.m_name) ? available : leaving)
       .push_back(host.m_name);
   }
+  const size_t activeOwners = CountActiveOwners(CountUpstreams(*hosts));
   std::vector<objectstore::HostEntry> candidates;
   for (const std::string& name :
-       RankOwners(available, aBatch.m_value, kActiveOwners)) {
+       RankOwners(available, aBatch.m_value, activeOwners)) {
     candidates.push_back(entries[name]);
   }
   for (const std::string& name :
-       RankOwners(leaving, aBatch.m_value, kActiveOwners)) {
+       RankOwners(leaving, aBatch.m_value, activeOwners)) {
     candidates.push_back(entries[name]);
   }
   const std::scoped_lock lock(m_mutex);
--- a/src/batches/internal/objectnames.h
+++ b/src/batches/internal/objectnames.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
+#include "objectstore/hosts.h"
+
 namespace heatherdeal::batches {
 
 // The kinds of the objects that make up a batch in the object store.
@@ -15,10 +19,16 @@
 /// The service name of hosts that run batches, in the host list.
 inline constexpr std::string_view kHostService = "rollout";
 
-/// The number of hosts that share the batches. Each of them opens connections
-/// to all engines and fills them without knowing of the others, so they are
-/// few. All hosts must use the same number.
-inline constexpr size_t kActiveOwners = 2;
+/// Returns the number of upstreams in the host list. Only hosts of our own take
+/// part in gossip.
+inline size_t
+CountUpstreams(std::span<const objectstore::HostEntry> aHosts)
+{
+  return static_cast<size_t>(
+    std::ranges::count_if(aHosts, [](const objectstore::HostEntry& aHost) {
+      return aHost.m_gossipPort == 0;
+    }));
+}
 
 /// Returns the object name of a chunk of results.
 inline std::string
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -178,8 +178,9 @@
       available.push_back(host.m_name);
     }
   }
+  const size_t activeOwners = CountActiveOwners(CountUpstreams(*hosts));
   const std::vector<std::string> ranked =
-    RankOwners(available, aBatch.m_value, kActiveOwners);
+    RankOwners(available, aBatch.m_value, activeOwners);
   return !ranked.empty() && ranked.front() == m_context.Self().m_host;
 }
 
--- a/src/batches/tests/rankownerstest.cpp
+++ b/src/batches/tests/rankownerstest.cpp
@@ -77,6 +77,16 @@
   CHECK(std::set<std::string>(ranked.begin(), ranked.end()).size() == 12);
 }
 
+// Pattern: thousands of engines. Two owners cannot drive them all.
+TEST_CASE("the number of owners grows with the number of upstreams")
+{
+  CHECK(CountActiveOwners(0) == 2);
+  CHECK(CountActiveOwners(49) == 2);
+  CHECK(CountActiveOwners(200) == 2);
+  CHECK(CountActiveOwners(201) == 3);
+  CHECK(CountActiveOwners(3400) == 34);
+}
+
 TEST_CASE("without hosts there is no owner")
 {
   CHECK(RankOwners({}, "batch", kActiveOwners).empty());
