--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -32,7 +32,7 @@
 // Delay before a relay that reports the store as unavailable is asked again.
 constexpr core::Duration kUnavailableRetryDelay =
   std::chrono::milliseconds(300);
-// How long the relays' word is taken before this host calls the store itself.
+// How long this host relies on the relays' reports before it calls the store.
 // The relays may be cut off from a store that others can reach.
 constexpr core::Duration kTrustRelaysFor = std::chrono::milliseconds(900);
 // Objects expire after several missed heartbeats of their writers. An object
