--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -28,7 +28,7 @@
 constexpr core::Duration kRelayRetryDelay = std::chrono::seconds(3);
 // Delay before the next bootstrap relay is tried. All hosts may start at the
 // same time, so a relay may not have listed the kind itself yet.
-constexpr core::Duration kBootstrapRetryDelay = std::chrono::milliseconds(150);
+constexpr core::Duration kBootstrapRetryDelay = std::chrono::milliseconds(60);
 // Delay before a relay that reports the store as unavailable is asked again.
 constexpr core::Duration kUnavailableRetryDelay =
   std::chrono::milliseconds(300);
@@ -117,7 +117,11 @@
 {
   ListRequest request{ m_options.m_kind, m_revision, "", {} };
   if (std::holds_alternative<RelaySource>(aSource)) {
-    request.m_maxWait = kRelayLongPollWait;
+    request.m_maxWait = m_expiredObjects.empty()
+                          ? kRelayLongPollWait
+                          : std::clamp(m_retainExpiredUntil - kernel::Now(),
+                                       kMinWaitWhileRetaining,
+                                       kRelayLongPollWait);
     return request;
   }
   if (m_relistPending || m_storeLostAt) {
@@ -218,6 +222,9 @@
     if (!wasAborted) {
       m_relistPending = false;
     }
+    if (!list.ok() && !m_withoutNewsSince) {
+      m_withoutNewsSince = kernel::Now();
+    }
     if (!list.ok() && relay != nullptr) {
       HandleRelayFailure(*relay, list.status());
       const bool isBootstrapRelay = !m_options.m_bootstrapRelays.empty() &&
@@ -240,14 +247,17 @@
     }
     const bool isAfterOutage = m_storeLostAt.has_value();
     const bool mayHaveExpired =
-      isAfterOutage && kernel::Now() - *m_storeLostAt >= kMinOutageForExpiry;
+      m_withoutNewsSince &&
+      kernel::Now() - *m_withoutNewsSince >= kMinOutageForExpiry;
+    const bool isUnchanged = IsUnchanged(source, *list);
+    m_withoutNewsSince.reset();
     RecordReachability(list.status());
-    if (mayHaveExpired && list->m_isFullList && relay == nullptr) {
+    if (mayHaveExpired && list->m_isFullList && !isUnchanged) {
       RetainExpiredObjects(*list);
     }
     DropExpiredObjects();
     m_backoff.m_consecutiveFailures = 0;
-    if (IsUnchanged(source, *list)) {
+    if (isUnchanged) {
       continue;
     }
     const Objects before = isRelist ? m_objects : Objects{};
@@ -336,12 +346,11 @@
     snapshot = std::make_shared<KindSnapshot>();
     snapshot->m_revision = *m_revision;
     std::vector<StoredObject> objects;
+    // Retained objects are left out: hosts that had news during the outage know
+    // whether they were removed, and the others retain them themselves.
     for (const auto& [name, object] : m_objects) {
       objects.push_back(object);
     }
-    for (const auto& [name, object] : m_expiredObjects) {
-      objects.push_back(object);
-    }
     snapshot->m_encodedList = EncodeBuiltInList(*m_revision, objects);
   }
   std::vector<std::shared_ptr<asio::steady_timer>> timers;
@@ -418,9 +427,6 @@
     return;
   }
   m_expiredObjects.clear();
-  // The relist has a new revision, by which the hosts that poll this relay
-  // notice that the retained objects are gone.
-  m_relistPending = true;
   NotifyChanged();
 }
 
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -146,6 +146,8 @@
   /// Objects that expired during an outage, and the end of their retention.
   Objects m_expiredObjects;
   core::Instant m_retainExpiredUntil{};
+  /// Since when neither the store nor a relay has answered, if they do not.
+  std::optional<core::Instant> m_withoutNewsSince;
   /// Start of the current outage of the store, if there is one.
   std::optional<core::Instant> m_storeLostAt;
   std::shared_ptr<http::CallAbort> m_callAbort;
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -397,6 +397,52 @@
   CHECK(store.m_requests.load() <= 2);
 }
 
+TEST_CASE(
+  "a relay that retains an object after its own outage does not report it "
+  "to others")
+{
+  constexpr uint32_t kUnavailable = 503;
+  http::Response emptyList;
+  emptyList.m_body = EncodeBuiltInList(12, {});
+  std::vector<http::Response> responses(6, ErrorResponse(kUnavailable));
+  responses.insert(responses.begin(), ListResponse(10, "a"));
+  responses.push_back(emptyList);
+  ScriptedStore store(responses);
+  RelayHost relay(store.m_loopback.Self());
+  std::mutex mutex;
+  std::vector<size_t> relayCounts;
+  relay.m_loopback.Kernel().Control().Post([&] {
+    relay.m_store->WatchWithExpiryGrace(
+      "kind", [&](std::span<const StoredObject> aObjects) {
+        const std::scoped_lock lock(mutex);
+        relayCounts.push_back(aObjects.size());
+      });
+  });
+  HostPair hosts(ClosedPort(), { relay.m_loopback.Self() });
+  const std::vector<core::Endpoint> relays{ relay.m_loopback.Self() };
+  hosts.m_remoteClient->SetWatchRelays(relays);
+  std::vector<size_t> followerCounts;
+  hosts.m_remoteLoopback.Kernel().Control().Post([&] {
+    hosts.m_remoteClient->Watch("kind",
+                                [&](std::span<const StoredObject> aObjects) {
+                                  const std::scoped_lock lock(mutex);
+                                  followerCounts.push_back(aObjects.size());
+                                });
+  });
+  for (int i = 0; i < 1000; ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+    const std::scoped_lock lock(mutex);
+    if (!followerCounts.empty() && followerCounts.back() == 0) {
+      break;
+    }
+  }
+  const std::scoped_lock lock(mutex);
+  CHECK(followerCounts == std::vector<size_t>{ 1, 0 });
+  REQUIRE(relayCounts.size() >= 2);
+  // The relay itself still has the object.
+  CHECK(relayCounts[1] == 1);
+}
+
 TEST_CASE(
   "a host whose relays are cut off from the store watches the store itself")
 {
