Report a request as possibly executed after a kept connection has carried it

What callers saw: repeats of a request beyond the route's maximum attempts. A request that crashed its upstream while it was sent over a kept connection came back as connection-failed, executed=no.

Cause: after a failure on an idle connection the client tries once more on a new one. If that was refused, because the upstream was gone by then, only the second failure was returned, and it says that nothing was sent. The relay sends such requests to the next upstream without counting the attempt or the retry budget, for half of the route's timeout. Class: a failure that forgets an earlier, graver one.

Change: the failure of the second try never says less than the first one allows.

Evidence: the new test in servertest.cpp, on the code before: 'CHECK( ExecutedOf(...) == Executed::Unknown ) with expansion: 0 == 1'; after the change test_http passes (240 assertions).

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -85,7 +85,8 @@
   ~Client();
 
   /// Sends aRequest and reads the head of the response. If no byte of the
-  /// request was sent, fails with ConnectionFailed and Executed::No.
+  /// request was sent on any connection, fails with ConnectionFailed and
+  /// Executed::No.
   boost::asio::awaitable<absl::StatusOr<std::unique_ptr<ResponseStream>>>
   OpenStream(core::Endpoint aPeer,
              Request aRequest,
@@ -109,6 +110,12 @@
   void ReturnConnection(std::unique_ptr<PooledConnection> aConnection);
 
 private:
+  /// Sends aRequest on a new connection, like OpenStream.
+  boost::asio::awaitable<absl::StatusOr<std::unique_ptr<ResponseStream>>>
+  OpenOnNewConnection(core::Endpoint aPeer,
+                      Request aRequest,
+                      core::Instant aDeadline,
+                      std::shared_ptr<CallAbort> aAbort);
   /// Removes a usable idle connection from the pool; nullptr if there is none.
   std::unique_ptr<PooledConnection> TakeIdleConnection(
     const core::Endpoint& aPeer);
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -12,6 +12,7 @@
 #include "boost/beast/http/write.hpp"
 
 #include "core/failure.h"
+#include "http/exchange.h"
 #include "http/internal/pooledconnection.h"
 
 namespace heatherdeal::http {
@@ -98,6 +99,18 @@
   return peekedBytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Returns the failure of a request that an idle connection has already carried
+/// to the peer, which may have executed it before this second try failed.
+absl::Status
+FailureOfSecondTry(const core::Endpoint& aPeer, const absl::Status& aStatus)
+{
+  if (core::ExecutedOf(FailureOf(aStatus)) != core::Executed::No) {
+    return aStatus;
+  }
+  return core::ToStatus(
+    core::ConnectionFailed{ ToText(aPeer), core::Executed::Unknown });
+}
+
 asio::awaitable<absl::Status>
 Connect(PooledConnection& aConnection, core::Instant aDeadline)
 {
@@ -406,7 +419,11 @@
 {
   std::unique_ptr<PooledConnection> idle =
     aReuse == Reuse::Allowed ? TakeIdleConnection(aPeer) : nullptr;
-  if (idle) {
+  if (!idle) {
+    co_return co_await OpenOnNewConnection(
+      std::move(aPeer), std::move(aRequest), aDeadline, std::move(aAbort));
+  }
+  {
     AbortScope scope(aAbort.get(), *idle);
     absl::StatusOr<ResponseHead> head =
       co_await SendRequestAndReadHead(*idle, aRequest, aDeadline);
@@ -418,9 +435,23 @@
     if (absl::IsDeadlineExceeded(head.status())) {
       co_return head.status();
     }
-    // The peer may have closed the idle connection, so try a new one.
-    m_context.Metrics().Get("http.idle_connection_dead").Add();
   }
+  // The peer may have closed the idle connection, so try a new one.
+  m_context.Metrics().Get("http.idle_connection_dead").Add();
+  auto opened = co_await OpenOnNewConnection(
+    aPeer, std::move(aRequest), aDeadline, std::move(aAbort));
+  if (!opened.ok()) {
+    co_return FailureOfSecondTry(aPeer, opened.status());
+  }
+  co_return opened;
+}
+
+asio::awaitable<absl::StatusOr<std::unique_ptr<ResponseStream>>>
+Client::OpenOnNewConnection(core::Endpoint aPeer,
+                            Request aRequest,
+                            core::Instant aDeadline,
+                            std::shared_ptr<CallAbort> aAbort)
+{
   if (aAbort && aAbort->IsAbortRequested()) {
     co_return FailureBeforeSending(aPeer);
   }
--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -4,6 +4,7 @@
 #include "boost/asio/use_future.hpp"
 #include "catch2/catch.hpp"
 
+#include "http/tests/crashingserver.h"
 #include "http/tests/loopback.h"
 
 namespace heatherdeal::http {
@@ -213,6 +214,29 @@
   CHECK(core::ExecutedOf(FailureOf(response.status())) == core::Executed::No);
 }
 
+// Guards against a request that crashed its server over a kept connection and
+// was reported as not executed, so that it was sent on without limit.
+TEST_CASE("a request that was sent on a kept connection may have been executed "
+          "although the server is gone at the second try")
+{
+  CrashingServer server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                        CrashMode::Closed);
+  Loopback loopback(SmallLimitSettings());
+  loopback.Listen();
+  const auto first = loopback.Call(
+    server.Endpoint(), { "GET", "/", {}, "sound" }, Reuse::Allowed, seconds(2));
+  REQUIRE(first.ok());
+  const auto second =
+    loopback.Call(server.Endpoint(),
+                  { "GET", "/", {}, std::string(CrashingServer::kCrashMarker) },
+                  Reuse::Allowed,
+                  seconds(2));
+  REQUIRE_FALSE(second.ok());
+  CHECK(server.HasCrashed());
+  CHECK(core::ExecutedOf(FailureOf(second.status())) ==
+        core::Executed::Unknown);
+}
+
 TEST_CASE("a connection whose response is discarded is used again")
 {
   Loopback loopback(SmallLimitSettings());
