--- a/src/quarantine/tests/fingerprinttest.cpp
+++ b/src/quarantine/tests/fingerprinttest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::string_view kAttemptHeaders[] = { "Request-Id", "Deadline-Ms" };
+constexpr std::string_view kAttemptHeaders[] = { "Request-Id", "Time-Left" };
 
 http::Request
 MakeRequest()
@@ -25,7 +25,7 @@
   http::Request again = MakeRequest();
   again.m_headers = { { "request-id", "2" },
                       { "caller", "me" },
-                      { "Deadline-Ms", "80" },
+                      { "Time-Left", "80" },
                       { "Host", "h" } };
   CHECK(ComputeFingerprint(again, kAttemptHeaders) == first);
   CHECK(ToText(first).size() == 16);
