Show that broken answers and streams never reach callers as whole

A stream that broke off and whose next engine answers 500, 503, 404 or with a truncated 200 is cut off without an end chunk, and without any byte of the error. No fault found.

--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -280,6 +280,51 @@
   CHECK(resumedCount.load() > 0);
 }
 
+// Guards against the text or head of another upstream's error in the middle of
+// a stream, and against a stream that ends as if it were complete.
+TEST_CASE(
+  "a stream that no engine can go on with is cut off, without the error "
+  "of the next engine")
+{
+  const ObjectApiHost objectApi;
+  EntryHost entry(objectApi);
+  const http::RawServer breaking(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1b\r\n{\"tokens\":2,\"text\":\"a b \"}\n\r\n");
+  const std::string status = GENERATE("500 Internal Server Error",
+                                      "503 Service Unavailable",
+                                      "404 Not Found",
+                                      "200 OK");
+  const std::string body = status == "200 OK"
+                             ? "Content-Length: 90\r\n\r\n{\"tokens\""
+                             : "Content-Length: 11\r\n\r\nerror text!";
+  const http::RawServer failing("HTTP/1.1 " + status + "\r\n" + body);
+  const core::Endpoint bothUpstreams[] = { breaking.Endpoint(),
+                                           failing.Endpoint() };
+  entry.SetUpstreams(bothUpstreams, false, "model");
+  int begunStreams = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string prompt = "{\"prompt\":\"" + std::to_string(i) + "\"}";
+    const std::string received = entry.m_loopback.SendRaw(
+      "POST /apps/model/v1/generate HTTP/1.1\r\nHost: h\r\n"
+      "Connection: close\r\n"
+      "X-Heatherdeal-Idempotent: true\r\nContent-Length: " +
+        std::to_string(prompt.size()) + "\r\n\r\n" + prompt,
+      false);
+    INFO(received);
+    if (received.find("a b ") == std::string::npos) {
+      CHECK(received.find("\r\n0\r\n\r\n") == std::string::npos);
+      continue;
+    }
+    begunStreams += 1;
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.find("error text") == std::string::npos);
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+  }
+  CHECK(begunStreams > 0);
+}
+
 TEST_CASE("a request is refused after it broke three upstreams")
 {
   const ObjectApiHost objectApi;
