--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -46,6 +46,15 @@
   auto operator<=>(const SampleId&) const = default;
 };
 
+/// Identifies one run of an upstream's process, on every host alike; a restart
+/// gets another value.
+struct UpstreamRun
+{
+  uint64_t m_value = 0;
+
+  auto operator<=>(const UpstreamRun&) const = default;
+};
+
 /// An IPv4 or IPv6 address in text form and a port.
 struct Endpoint
 {
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -406,7 +406,7 @@
   aReservation.ReportFailure(now);
   if (core::MayHaveCrashedPeer(aFailure)) {
     m_forwarder.m_quarantine->ReportCrash(
-      m_fingerprint, quarantine::RunOf(aReservation.Chosen()));
+      m_fingerprint, routing::RunOf(aReservation.Chosen()));
   }
 }
 
--- a/src/quarantine/decisions/suspects.cpp
+++ b/src/quarantine/decisions/suspects.cpp
@@ -211,7 +211,7 @@
 Learned
 RecordCrash(QuarantineState& aState,
             Fingerprint aFingerprint,
-            UpstreamRun aUpstream,
+            core::UpstreamRun aUpstream,
             core::Instant aNow)
 {
   SuspectRequest& request = FindOrAdd(aState, aFingerprint, aNow);
@@ -240,7 +240,7 @@
 
 Learned
 RecordAnswer(QuarantineState& aState,
-             UpstreamRun aUpstream,
+             core::UpstreamRun aUpstream,
              core::Instant aSentAt,
              core::Instant aNow)
 {
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -7,7 +7,6 @@
 #include "core/failure.h"
 #include "http/message.h"
 #include "quarantine/suspects.h"
-#include "routing/pool.h"
 
 namespace heatherdeal::quarantine {
 
@@ -28,8 +27,4 @@
             core::Instant aRefusalEnd,
             core::Instant aNow);
 
-/// Returns the identity of the upstream's process, the same on every host.
-UpstreamRun
-RunOf(const routing::Upstream& aUpstream);
-
 } // namespace heatherdeal::quarantine
--- a/src/quarantine/internal/fingerprint.cpp
+++ b/src/quarantine/internal/fingerprint.cpp
@@ -83,11 +83,4 @@
            static_cast<uint64_t>(std::max<int64_t>(0, timeLeft.count())) };
 }
 
-UpstreamRun
-RunOf(const routing::Upstream& aUpstream)
-{
-  return { HashField(aUpstream.m_stats->m_incarnation,
-                     aUpstream.m_id.m_value) };
-}
-
 } // namespace heatherdeal::quarantine
--- a/src/quarantine/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -40,7 +40,7 @@
 }
 
 void
-Quarantine::ReportCrash(Fingerprint aFingerprint, UpstreamRun aUpstream)
+Quarantine::ReportCrash(Fingerprint aFingerprint, core::UpstreamRun aUpstream)
 {
   m_context.Metrics().Get("quarantine.crashes").Add();
   Learned learned = Learned::Nothing;
@@ -62,7 +62,7 @@
 }
 
 void
-Quarantine::ReportAnswer(UpstreamRun aUpstream, core::Instant aSentAt)
+Quarantine::ReportAnswer(core::UpstreamRun aUpstream, core::Instant aSentAt)
 {
   const std::scoped_lock lock(m_mutex);
   RecordAnswer(m_state, aUpstream, aSentAt, kernel::Now());
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -28,11 +28,11 @@
   /// sent.
   std::optional<core::Instant> FindRefusalEnd(Fingerprint aFingerprint) const;
   /// Records that an upstream presumably crashed while it had the request.
-  void ReportCrash(Fingerprint aFingerprint, UpstreamRun aUpstream);
+  void ReportCrash(Fingerprint aFingerprint, core::UpstreamRun aUpstream);
   /// Records that an upstream served the request, whatever the status.
   void ReportServed(Fingerprint aFingerprint);
   /// Records that an upstream answered a request that was sent at aSentAt.
-  void ReportAnswer(UpstreamRun aUpstream, core::Instant aSentAt);
+  void ReportAnswer(core::UpstreamRun aUpstream, core::Instant aSentAt);
 
   /// Returns the requests that are refused or suspect.
   boost::json::value Dump() const;
--- a/src/quarantine/suspects.h
+++ b/src/quarantine/suspects.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/ids.h"
 #include "core/instant.h"
 
 namespace heatherdeal::quarantine {
@@ -19,14 +20,6 @@
   auto operator<=>(const Fingerprint&) const = default;
 };
 
-/// Identifies one run of an upstream's process; a restart gets another value.
-struct UpstreamRun
-{
-  uint64_t m_value = 0;
-
-  auto operator<=>(const UpstreamRun&) const = default;
-};
-
 /// Policy for requests that crash upstreams.
 struct QuarantinePolicy
 {
@@ -57,7 +50,7 @@
 /// An upstream broke its connection or fell silent while it had the request.
 struct CrashObservation
 {
-  UpstreamRun m_upstream;
+  core::UpstreamRun m_upstream;
   core::Instant m_observedAt{};
   /// True if the upstream has answered since, so that it did not crash.
   bool m_disproved = false;
@@ -123,7 +116,7 @@
 Learned
 RecordCrash(QuarantineState& aState,
             Fingerprint aFingerprint,
-            UpstreamRun aUpstream,
+            core::UpstreamRun aUpstream,
             core::Instant aNow);
 
 /// Records that an upstream has served the request, whatever the status.
@@ -135,7 +128,7 @@
 /// Records that an upstream answered a request that was sent at aSentAt.
 Learned
 RecordAnswer(QuarantineState& aState,
-             UpstreamRun aUpstream,
+             core::UpstreamRun aUpstream,
              core::Instant aSentAt,
              core::Instant aNow);
 
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -191,7 +191,7 @@
                      const absl::Status& aStatus)
 {
   const auto fingerprint = FingerprintOf(aCall.m_origin);
-  const quarantine::UpstreamRun run = quarantine::RunOf(aReservation.Chosen());
+  const core::UpstreamRun run = routing::RunOf(aReservation.Chosen());
   if (aStatus.ok()) {
     aReservation.ReportSuccess();
     m_quarantine->ReportAnswer(run, aSentAt);
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -1,5 +1,7 @@
 #include "routing/pool.h"
 
+#include "xxhash.h"
+
 namespace heatherdeal::routing {
 
 namespace {
@@ -40,6 +42,13 @@
 
 } // namespace
 
+core::UpstreamRun
+RunOf(const Upstream& aUpstream)
+{
+  const std::string& id = aUpstream.m_id.m_value;
+  return { XXH64(id.data(), id.size(), aUpstream.m_stats->m_incarnation) };
+}
+
 UpstreamReservation::UpstreamReservation(std::shared_ptr<const Pool> aPool,
                                          size_t aIndex)
   : m_pool(std::move(aPool))
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -60,6 +60,10 @@
   std::vector<objectstore::ServedWeights> m_weights;
 };
 
+/// Returns the identity of the upstream's process.
+core::UpstreamRun
+RunOf(const Upstream& aUpstream);
+
 /// A snapshot of the upstreams of one service.
 struct Pool
 {
