Keep all hosts together within the limits that upstreams name

Cause: no part of the code read the limit; where the rule held, little came. Class: a statement of an upstream that no way to the upstreams listens to. A fix of the reading alone would have failed with the number of hosts, as each of them would have sent the whole limit.

Change: the codec decodes the limit; the new plug-in limits shares limits and demands between hosts by gossip, and each host paces its part by its share of the demand. Permits are taken by the reservation that relay, items, scoring and forwarding have in common. A caller's request that can't get a permit in time is rejected at once with the time of the next free one.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -8,10 +8,11 @@
   forwarding/attempts.h
   gossip/digest.h gossip/members.h
   lease/candidates.h lease/lease.h
+  limits/limits.h
   objectstore/backoff.h objectstore/callbudget.h objectstore/object.h
   quarantine/suspects.h
   rollout/policy.h rollout/shard.h
-  routing/choice.h routing/ejection.h
+  routing/choice.h routing/ejection.h routing/pacing.h
   weights/rollingupdate.h)
 foreach(header ${public_headers})
   get_filename_component(folder ${header} DIRECTORY)
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -217,6 +217,10 @@
 std::optional<size_t>
 FindLastItemToStart(const BatchRun& aRun, core::Instant aNow);
 
+/// Returns the number of items that may start now.
+uint32_t
+CountItemsToStart(const BatchRun& aRun, core::Instant aNow);
+
 /// Starts a run of an item on an engine. Returns the number of the run.
 uint64_t
 StartItemRun(BatchRun& aRun, size_t aItem, const core::UpstreamId& aEngine);
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -248,6 +248,15 @@
   return last == aRun.m_startOrder.rend() ? std::nullopt : std::optional(*last);
 }
 
+uint32_t
+CountItemsToStart(const BatchRun& aRun, core::Instant aNow)
+{
+  return static_cast<uint32_t>(
+    std::ranges::count_if(aRun.m_startOrder, [&](size_t aIndex) {
+      return CanStart(aRun, aIndex, aNow);
+    }));
+}
+
 uint64_t
 StartItemRun(BatchRun& aRun, size_t aItem, const core::UpstreamId& aEngine)
 {
--- a/src/batches/engines.h
+++ b/src/batches/engines.h
@@ -17,7 +17,7 @@
   /// The number of requests of this host in flight to the engine.
   uint32_t m_outstanding = 0;
   /// True if the engine is neither draining nor excluded after failures or
-  /// refusals.
+  /// refusals, and its own limit allows another request now.
   bool m_usable = true;
   /// The version of the batch's weights that the engine serves.
   core::WeightVersion m_version;
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -4,6 +4,7 @@
 #include "kernel/controlthread.h"
 #include "kernel/eventlog.h"
 #include "relay/eventstream.h"
+#include "relay/relay.h"
 #include "relay/upstreamcodec.h"
 
 namespace heatherdeal::batches {
@@ -215,6 +216,7 @@
   const std::unique_ptr<http::ResponseStream> stream = *std::move(opened);
   const relay::DecodedHead decodedHead =
     relay::CodecInUse().m_decodeHead(stream->Head(), aTask.m_itemId);
+  relay::ReportLimit(*aTask.m_limits, engine, decodedHead);
   if (!std::holds_alternative<relay::Served>(decodedHead.m_outcome)) {
     const bool isMismatched =
       std::holds_alternative<relay::MismatchedResponse>(decodedHead.m_outcome);
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -8,6 +8,7 @@
 #include "batches/batchrun.h"
 #include "http/client.h"
 #include "kernel/context.h"
+#include "limits/upstreamlimits.h"
 #include "routing/pool.h"
 
 namespace heatherdeal::batches {
@@ -29,6 +30,7 @@
   core::Instant m_startedAt{};
   core::Instant m_deadline{};
   std::shared_ptr<http::CallAbort> m_abort;
+  std::shared_ptr<limits::UpstreamLimits> m_limits;
   /// Called on the traffic loop with the output since the previous call.
   std::function<void(RunReport)> m_onProgress;
 };
--- a/src/batches/internal/poolviews.cpp
+++ b/src/batches/internal/poolviews.cpp
@@ -25,7 +25,8 @@
     stats.m_ejectedUntil.load()) };
   const core::Instant avoidedUntil{ core::Duration(stats.m_avoidUntil.load()) };
   engine.m_usable = !aUpstream.m_leaving && !stats.m_leaving.load() &&
-                    ejectedUntil <= aNow && avoidedUntil <= aNow;
+                    ejectedUntil <= aNow && avoidedUntil <= aNow &&
+                    stats.m_pacing.NextPermitAt() <= aNow;
   engine.m_isRefusing = stats.m_consecutiveRefusals.load() > 0;
   engine.m_lastEventInterval = core::Duration(stats.m_meanEventGap.load());
   const core::Instant measuredAt{ core::Duration(
@@ -43,6 +44,18 @@
 
 } // namespace
 
+uint32_t
+PoolViews::CountWaitingItems(const routing::Pool& aPool) const
+{
+  uint32_t count = 0;
+  for (const PoolView& view : m_views) {
+    const bool isSameService =
+      view.m_pool->m_service.m_name == aPool.m_service.m_name;
+    count += isSameService ? view.m_waitingItems : 0;
+  }
+  return count;
+}
+
 PoolView&
 PoolViews::FindOrAdd(std::shared_ptr<const routing::Pool> aPool,
                      std::string_view aWeights)
--- a/src/batches/internal/poolviews.h
+++ b/src/batches/internal/poolviews.h
@@ -15,6 +15,8 @@
   std::shared_ptr<const routing::Pool> m_pool;
   std::string m_weights;
   std::vector<EngineSnapshot> m_engines;
+  /// Items that no engine is usable for.
+  uint32_t m_waitingItems = 0;
 };
 
 /// Caches the engine states of each pool during one scheduling pass.
@@ -26,6 +28,9 @@
   PoolView& FindOrAdd(std::shared_ptr<const routing::Pool> aPool,
                       std::string_view aWeights);
 
+  /// Returns the number of items that wait for an engine of the pool.
+  uint32_t CountWaitingItems(const routing::Pool& aPool) const;
+
 private:
   std::list<PoolView> m_views;
 };
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -156,6 +156,10 @@
   for (const OwnedPtr& owned : openBatches) {
     StartItemsOfBatch(owned, views);
   }
+  for (const auto& [service, pool] :
+       m_relay->UpstreamRouter().ReadPools()->m_byService) {
+    pool->m_demand->m_waitingItems.store(views.CountWaitingItems(*pool));
+  }
 }
 
 void
@@ -175,6 +179,7 @@
     const std::optional<size_t> engine =
       ChooseEngine(run, *item, view.m_engines);
     if (!engine) {
+      view.m_waitingItems += CountItemsToStart(run, kernel::Now());
       ProbeEngine(aOwned, view);
       return;
     }
@@ -265,12 +270,18 @@
   task.m_reservation =
     std::make_shared<routing::UpstreamReservation>(aView.m_pool, aEngine);
   aView.m_engines[aEngine].m_outstanding += 1;
+  aView.m_pool->m_demand->m_calls.fetch_add(1);
+  if (task.m_reservation->Chosen().m_stats->m_pacing.NextPermitAt() >
+      kernel::Now()) {
+    aView.m_engines[aEngine].m_usable = false;
+  }
   task.m_resumeAfter = run.m_items[aItem].m_eventCount;
   task.m_oldestAllowedVersion = submission.m_oldestAllowedVersion;
   task.m_expectedTokens = item.m_expectedTokens;
   task.m_startedAt = kernel::Now();
   task.m_deadline = run.m_policy.m_itemDeadline;
   task.m_abort = std::make_shared<http::CallAbort>();
+  task.m_limits = m_context.Get<limits::UpstreamLimits>();
   const uint64_t runNumber =
     StartItemRun(run, aItem, aView.m_engines[aEngine].m_id);
   const size_t loop = m_context.Traffic().NextIndex();
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -62,6 +62,9 @@
     aVisit("resource", aFailure.m_resource);
   } else if constexpr (std::is_same_v<T, NoUpstream>) {
     aVisit("service", aFailure.m_service);
+  } else if constexpr (std::is_same_v<T, RateLimited>) {
+    aVisit("service", aFailure.m_service);
+    aVisit("retry-after-ms", aFailure.m_retryAfterMs);
   } else if constexpr (std::is_same_v<T, Quarantined>) {
     aVisit("fingerprint", aFailure.m_fingerprint);
     aVisit("retry-after-ms", aFailure.m_retryAfterMs);
@@ -211,6 +214,7 @@
       [](const ResponseTooLarge&) { return absl::StatusCode::kDataLoss; },
       [](const UnnamedVersion&) { return absl::StatusCode::kDataLoss; },
       [](const Overload&) { return absl::StatusCode::kResourceExhausted; },
+      [](const RateLimited&) { return absl::StatusCode::kResourceExhausted; },
       [](const VersionConflict&) { return absl::StatusCode::kAborted; },
       [](const FenceRejected&) { return absl::StatusCode::kAborted; },
       [](const GenerationRegressed&) {
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -98,6 +98,16 @@
   std::string m_service;
 };
 
+/// All usable upstreams of the service have named limits that are used up; the
+/// request was not executed.
+struct RateLimited
+{
+  static constexpr std::string_view kKind = "rate-limited";
+  std::string m_service;
+  /// Time until a request may be sent again.
+  uint64_t m_retryAfterMs = 0;
+};
+
 /// The request is refused because requests with the same fingerprint crashed
 /// upstreams before.
 struct Quarantined
@@ -220,6 +230,7 @@
                              PeerRefused,
                              Overload,
                              NoUpstream,
+                             RateLimited,
                              Quarantined,
                              AlreadySubmitted,
                              RecordUnavailable,
--- a/src/core/tests/failuretest.cpp
+++ b/src/core/tests/failuretest.cpp
@@ -19,6 +19,7 @@
     PeerRefused{ "peer", 503, Executed::Yes },
     Overload{ "queue" },
     NoUpstream{ "songs" },
+    RateLimited{ "songs", 1500 },
     Quarantined{ "ab12", 60000 },
     AlreadySubmitted{ "id", Executed::Yes },
     RecordUnavailable{ "submission" },
--- a/src/forwarding/decisions/attempts.cpp
+++ b/src/forwarding/decisions/attempts.cpp
@@ -24,6 +24,7 @@
 IsNonRetryable(const core::Failure& aFailure)
 {
   return std::holds_alternative<core::NoUpstream>(aFailure) ||
+         std::holds_alternative<core::RateLimited>(aFailure) ||
          std::holds_alternative<core::Quarantined>(aFailure) ||
          std::holds_alternative<core::InvalidInput>(aFailure);
 }
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -162,6 +162,7 @@
                       [](const core::Overload&) { return 429U; },
                       [](const core::DeadlineExceeded&) { return 504U; },
                       [](const core::NoUpstream&) { return 503U; },
+                      [](const core::RateLimited&) { return 503U; },
                       [](const core::RecordUnavailable&) { return 503U; },
                       [](const core::Draining&) { return 503U; },
                       [](const auto&) { return 502U; } },
--- a/src/protocol/binaryarchive.h
+++ b/src/protocol/binaryarchive.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <exception>
@@ -8,6 +9,8 @@
 
 #include "cereal/archives/portable_binary.hpp"
 
+#include "core/instant.h"
+
 namespace heatherdeal::protocol {
 
 using OutputArchive = cereal::PortableBinaryOutputArchive;
@@ -43,4 +46,36 @@
   return count;
 }
 
+inline void
+SaveFlag(OutputArchive& aArchive, bool aFlag)
+{
+  aArchive(static_cast<uint8_t>(aFlag ? 1 : 0));
+}
+
+inline bool
+LoadFlag(InputArchive& aArchive)
+{
+  uint8_t flag = 0;
+  aArchive(flag);
+  return flag != 0;
+}
+
+/// Writes a time as its age in milliseconds, since hosts have no common clock.
+inline void
+SaveAge(OutputArchive& aArchive, core::Instant aInstant, core::Instant aNow)
+{
+  const auto age =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aInstant);
+  aArchive(
+    static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, UINT32_MAX)));
+}
+
+inline core::Instant
+LoadAge(InputArchive& aArchive, core::Instant aNow)
+{
+  uint32_t age = 0;
+  aArchive(age);
+  return aNow - std::chrono::milliseconds(age);
+}
+
 } // namespace heatherdeal::protocol
--- a/src/quarantine/internal/suspectcodec.cpp
+++ b/src/quarantine/internal/suspectcodec.cpp
@@ -1,6 +1,5 @@
 #include "quarantine/internal/suspectcodec.h"
 
-#include <algorithm>
 #include <istream>
 #include <sstream>
 
@@ -12,8 +11,12 @@
 namespace {
 
 using protocol::InputArchive;
+using protocol::LoadAge;
 using protocol::LoadCount;
+using protocol::LoadFlag;
 using protocol::OutputArchive;
+using protocol::SaveAge;
+using protocol::SaveFlag;
 
 constexpr size_t kMaxReports = 64;
 // cereal begins each archive with its byte order.
@@ -24,43 +27,17 @@
 // Of a crash: upstream, age, disproved flag.
 constexpr size_t kCrashBytes = 8 + 4 + 1;
 
-uint32_t
-ToAge(core::Instant aInstant, core::Instant aNow)
-{
-  const auto age =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aInstant)
-      .count();
-  return static_cast<uint32_t>(std::clamp<int64_t>(age, 0, UINT32_MAX));
-}
-
-core::Instant
-LoadInstant(InputArchive& aArchive, core::Instant aNow)
-{
-  uint32_t age = 0;
-  aArchive(age);
-  return aNow - std::chrono::milliseconds(age);
-}
-
-bool
-LoadFlag(InputArchive& aArchive)
-{
-  uint8_t flag = 0;
-  aArchive(flag);
-  return flag != 0;
-}
-
 void
 Save(OutputArchive& aArchive, const SuspectReport& aReport, core::Instant aNow)
 {
-  const bool wasServed = aReport.m_lastServedAt.has_value();
-  aArchive(aReport.m_fingerprint.m_value,
-           static_cast<uint8_t>(wasServed ? 1 : 0),
-           ToAge(aReport.m_lastServedAt.value_or(aNow), aNow),
-           static_cast<uint8_t>(aReport.m_crashes.size()));
+  aArchive(aReport.m_fingerprint.m_value);
+  SaveFlag(aArchive, aReport.m_lastServedAt.has_value());
+  SaveAge(aArchive, aReport.m_lastServedAt.value_or(aNow), aNow);
+  aArchive(static_cast<uint8_t>(aReport.m_crashes.size()));
   for (const CrashObservation& crash : aReport.m_crashes) {
-    aArchive(crash.m_upstream.m_value,
-             ToAge(crash.m_observedAt, aNow),
-             static_cast<uint8_t>(crash.m_disproved ? 1 : 0));
+    aArchive(crash.m_upstream.m_value);
+    SaveAge(aArchive, crash.m_observedAt, aNow);
+    SaveFlag(aArchive, crash.m_disproved);
   }
 }
 
@@ -70,7 +47,7 @@
   SuspectReport report;
   aArchive(report.m_fingerprint.m_value);
   const bool wasServed = LoadFlag(aArchive);
-  const core::Instant servedAt = LoadInstant(aArchive, aNow);
+  const core::Instant servedAt = LoadAge(aArchive, aNow);
   if (wasServed) {
     report.m_lastServedAt = servedAt;
   }
@@ -78,7 +55,7 @@
   for (uint8_t i = 0; i < count; ++i) {
     CrashObservation crash;
     aArchive(crash.m_upstream.m_value);
-    crash.m_observedAt = LoadInstant(aArchive, aNow);
+    crash.m_observedAt = LoadAge(aArchive, aNow);
     crash.m_disproved = LoadFlag(aArchive);
     report.m_crashes.push_back(crash);
   }
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -73,11 +73,62 @@
   return wasSilent || core::MayHaveCrashedPeer(aFailure);
 }
 
+/// Counts a call that waits for a permit, for the lifetime of this object.
+class WaitingCall
+{
+public:
+  explicit WaitingCall(std::shared_ptr<routing::ServiceDemand> aDemand)
+    : m_demand(std::move(aDemand))
+  {
+    m_demand->m_waitingCalls.fetch_add(1);
+  }
+  ~WaitingCall() { m_demand->m_waitingCalls.fetch_sub(1); }
+  WaitingCall(const WaitingCall&) = delete;
+  WaitingCall& operator=(const WaitingCall&) = delete;
+
+private:
+  std::shared_ptr<routing::ServiceDemand> m_demand;
+};
+
+/// Returns when the last of the calls that wait gets a permit.
+core::Instant
+EstimatePermitOfQueue(const routing::PermitForecast& aForecast,
+                      uint32_t aWaitingCalls)
+{
+  constexpr core::Duration kMaxWait = std::chrono::minutes(1);
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const core::Instant latest = kernel::Now() + kMaxWait;
+  const double waitMicroseconds =
+    aWaitingCalls * kMicrosecondsPerSecond / aForecast.m_permitsPerSecond;
+  const bool isLong =
+    !(waitMicroseconds < static_cast<double>(kMaxWait.count()));
+  return isLong || aForecast.m_nextPermitAt > latest
+           ? latest
+           : aForecast.m_nextPermitAt +
+               core::Duration(static_cast<int64_t>(waitMicroseconds));
+}
+
 } // namespace
 
+void
+ReportLimit(limits::UpstreamLimits& aLimits,
+            const routing::Upstream& aUpstream,
+            const DecodedHead& aHead)
+{
+  const bool isServed = std::holds_alternative<Served>(aHead.m_outcome);
+  const bool namesLimit =
+    std::holds_alternative<NotExecuted>(aHead.m_outcome) &&
+    std::holds_alternative<limits::LimitNamed>(aHead.m_limit);
+  if (isServed || namesLimit) {
+    aLimits.ReportAnswer(aUpstream, aHead.m_limit);
+  }
+}
+
 /// The state of one call across its attempts.
 struct Relay::CallState
 {
+  bool m_isCountedAsDemand = false;
+  std::optional<WaitingCall> m_waiting;
   forwarding::CallProgress m_retryProgress;
   std::vector<size_t> m_triedUpstreams;
   core::Instant m_refusalRetryDeadline{};
@@ -89,6 +140,7 @@
   : m_router(aContext.Get<routing::Router>())
   , m_clients(aContext.Get<http::Clients>())
   , m_quarantine(aContext.Get<quarantine::Quarantine>())
+  , m_limits(aContext.Get<limits::UpstreamLimits>())
 {
 }
 
@@ -101,6 +153,7 @@
   const http::ResponseHead& head = aStream.Head();
   const DecodedHead decodedHead = CodecInUse().m_decodeHead(head, aCall.m_id);
   aReservation.ReportAnswer(kernel::Now());
+  ReportLimit(*m_limits, aReservation.Chosen(), decodedHead);
   if (decodedHead.m_load) {
     RecordLoad(aReservation, *decodedHead.m_load);
   }
@@ -148,12 +201,18 @@
     co_return core::ToStatus(
       quarantine::MakeFailure(*fingerprint, *refusalEnd, now));
   }
+  if (pool && !aState.m_isCountedAsDemand) {
+    pool->m_demand->m_calls.fetch_add(1);
+    aState.m_isCountedAsDemand = true;
+  }
   std::unique_ptr<routing::UpstreamReservation> reservation =
     pool ? m_router->ReserveUpstream(pool, aState.m_triedUpstreams, now)
          : nullptr;
   if (!reservation) {
-    co_return core::ToStatus(core::NoUpstream{ service.m_value });
+    co_return core::ToStatus(
+      MakeUnavailableFailure(aState, pool.get(), service));
   }
+  aState.m_waiting.reset();
   aState.m_triedUpstreams.push_back(reservation->Index());
   aState.m_lastUpstream = reservation->Chosen().m_id.m_value;
   const core::Instant deadline = AttemptDeadline(
@@ -184,6 +243,28 @@
   co_return response;
 }
 
+core::Failure
+Relay::MakeUnavailableFailure(CallState& aState,
+                              const routing::Pool* aPool,
+                              const core::ServiceId& aService)
+{
+  const core::Instant now = kernel::Now();
+  const auto forecast =
+    aPool == nullptr ? std::nullopt : routing::ForecastPermits(*aPool, now);
+  if (!forecast || aState.m_waiting) {
+    return core::NoUpstream{ aService.m_value };
+  }
+  const core::Instant permitAt =
+    EstimatePermitOfQueue(*forecast, aPool->m_demand->m_waitingCalls.load());
+  if (permitAt < aState.m_refusalRetryDeadline) {
+    aState.m_waiting.emplace(aPool->m_demand);
+    return core::NoUpstream{ aService.m_value };
+  }
+  return core::RateLimited{ aService.m_value,
+                            static_cast<uint64_t>(
+                              kernel::Milliseconds(permitAt - now)) };
+}
+
 void
 Relay::RecordOutcome(const RoutedCall& aCall,
                      routing::UpstreamReservation& aReservation,
@@ -218,7 +299,9 @@
                       const core::Failure& aFailure)
 {
   const core::Instant now = kernel::Now();
-  const bool isRefused = std::holds_alternative<core::Quarantined>(aFailure);
+  // Waiting would not help these in time.
+  const bool isRefused = std::holds_alternative<core::Quarantined>(aFailure) ||
+                         std::holds_alternative<core::RateLimited>(aFailure);
   const bool wasNotExecuted =
     !isRefused && core::ExecutedOf(aFailure) == core::Executed::No;
   const bool hasNoUpstream = std::holds_alternative<core::NoUpstream>(aFailure);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "http/callabort.h"
 #include "http/client.h"
 #include "kernel/context.h"
+#include "limits/upstreamlimits.h"
 #include "quarantine/quarantine.h"
 #include "relay/upstreamcodec.h"
 #include "routing/pool.h"
@@ -51,6 +52,13 @@
   std::string m_proof;
 };
 
+/// Records what an answer says of its upstream's limit. The answer of another
+/// instance says nothing, and a refusal without a limit does not lift one.
+void
+ReportLimit(limits::UpstreamLimits& aLimits,
+            const routing::Upstream& aUpstream,
+            const DecodedHead& aHead);
+
 /// Sends requests to the upstreams of their route, and retries them where this
 /// is safe.
 class Relay : public std::enable_shared_from_this<Relay>
@@ -77,6 +85,10 @@
     const RoutedCall& aCall,
     routing::UpstreamReservation& aReservation,
     core::Instant aDeadline);
+  /// Returns the failure of a call for which no upstream is usable now.
+  static core::Failure MakeUnavailableFailure(CallState& aState,
+                                              const routing::Pool* aPool,
+                                              const core::ServiceId& aService);
   /// Records what the outcome of an attempt says about the request and about
   /// the upstream.
   void RecordOutcome(const RoutedCall& aCall,
@@ -90,6 +102,7 @@
   std::shared_ptr<routing::Router> m_router;
   std::shared_ptr<http::Clients> m_clients;
   std::shared_ptr<quarantine::Quarantine> m_quarantine;
+  std::shared_ptr<limits::UpstreamLimits> m_limits;
   std::atomic<uint64_t> m_nextSequence{ 0 };
   std::mutex m_budgetMutex;
   forwarding::RetryBudgetState m_budget;
--- a/src/relay/relaymodule.cpp
+++ b/src/relay/relaymodule.cpp
@@ -2,6 +2,7 @@
 
 #include "http/httpmodule.h"
 #include "kernel/plugin.h"
+#include "limits/limitsmodule.h"
 #include "quarantine/quarantinemodule.h"
 #include "routing/routingmodule.h"
 
@@ -17,6 +18,7 @@
 }
 
 constexpr std::string_view kDependencies[] = { http::kModuleName,
+                                               limits::kModuleName,
                                                quarantine::kModuleName,
                                                routing::kModuleName };
 
--- a/src/relay/upstreamcodec.h
+++ b/src/relay/upstreamcodec.h
@@ -10,6 +10,7 @@
 #include "core/instant.h"
 #include "core/weightversion.h"
 #include "http/message.h"
+#include "limits/limits.h"
 
 namespace heatherdeal::relay {
 
@@ -60,6 +61,7 @@
 {
   UpstreamOutcome m_outcome;
   std::optional<LoadReport> m_load;
+  limits::LimitStatement m_limit;
   /// The weight version at the start of the response.
   std::optional<core::WeightVersion> m_version;
 };
--- a/src/routing/choice.h
+++ b/src/routing/choice.h
@@ -18,6 +18,8 @@
   uint32_t m_slots = 1;
   bool m_leaving = false;
   core::Instant m_ejectedUntil{};
+  /// When the next request may be sent within the upstream's own limit.
+  core::Instant m_nextPermitAt{};
   /// Number of requests from this host that are in flight.
   uint32_t m_outstanding = 0;
   /// Number of running and waiting requests that the upstream last reported.
--- a/src/routing/decisions/choice.cpp
+++ b/src/routing/decisions/choice.cpp
@@ -144,7 +144,8 @@
 bool
 IsUsable(const UpstreamFacts& aUpstream, core::Instant aNow)
 {
-  return !aUpstream.m_leaving && aUpstream.m_ejectedUntil <= aNow;
+  return !aUpstream.m_leaving && aUpstream.m_ejectedUntil <= aNow &&
+         aUpstream.m_nextPermitAt <= aNow;
 }
 
 UpstreamSource
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -2,6 +2,8 @@
 
 #include "xxhash.h"
 
+#include "kernel/controlthread.h"
+
 namespace heatherdeal::routing {
 
 namespace {
@@ -21,6 +23,7 @@
   facts.m_slots = aUpstream.m_slots;
   facts.m_leaving = aUpstream.m_leaving || stats.m_leaving.load();
   facts.m_ejectedUntil = ToInstant(stats.m_ejectedUntil.load());
+  facts.m_nextPermitAt = stats.m_pacing.NextPermitAt();
   facts.m_outstanding = stats.m_outstanding.load();
   facts.m_reportedLoad = stats.m_reportedLoad.load();
   facts.m_reportedAt = ToInstant(stats.m_reportedAt.load());
@@ -42,6 +45,73 @@
 
 } // namespace
 
+void
+UpstreamPacing::SetRate(const std::optional<double>& aRequestsPerSecond,
+                        core::Instant aNow)
+{
+  if (!aRequestsPerSecond && !IsLimited()) {
+    return;
+  }
+  const std::scoped_lock lock(m_mutex);
+  if (!IsLimited()) {
+    m_permits = { .m_updatedAt = aNow };
+  }
+  routing::SetRate(m_permits, aRequestsPerSecond.value_or(0.0), aNow);
+  m_isLimited.store(aRequestsPerSecond.has_value());
+}
+
+core::Instant
+UpstreamPacing::NextPermitAt() const
+{
+  if (!IsLimited()) {
+    return {};
+  }
+  const std::scoped_lock lock(m_mutex);
+  return routing::FindNextPermit(m_permits);
+}
+
+void
+UpstreamPacing::TakePermit(core::Instant aNow)
+{
+  if (!IsLimited()) {
+    return;
+  }
+  const std::scoped_lock lock(m_mutex);
+  routing::TakePermit(m_permits, aNow);
+}
+
+double
+UpstreamPacing::Rate() const
+{
+  if (!IsLimited()) {
+    return 0.0;
+  }
+  const std::scoped_lock lock(m_mutex);
+  return m_permits.m_permitsPerSecond;
+}
+
+std::optional<PermitForecast>
+ForecastPermits(const Pool& aPool, core::Instant aNow)
+{
+  PermitForecast forecast{ core::Instant::max(), 0.0 };
+  bool hasLimited = false;
+  for (const Upstream& upstream : aPool.m_upstreams) {
+    UpstreamFacts facts = ReadFacts(upstream);
+    const core::Instant permitAt = facts.m_nextPermitAt;
+    facts.m_nextPermitAt = {};
+    if (!IsUsable(facts, aNow)) {
+      continue;
+    }
+    if (permitAt <= aNow) {
+      return std::nullopt;
+    }
+    hasLimited = true;
+    forecast.m_nextPermitAt = std::min(forecast.m_nextPermitAt, permitAt);
+    forecast.m_permitsPerSecond += upstream.m_stats->m_pacing.Rate();
+  }
+  return hasLimited ? std::optional(forecast) : std::nullopt;
+}
+
 core::UpstreamRun
 RunOf(const Upstream& aUpstream)
 {
@@ -55,6 +125,7 @@
   , m_index(aIndex)
 {
   Chosen().m_stats->m_outstanding.fetch_add(1);
+  Chosen().m_stats->m_pacing.TakePermit(kernel::Now());
 }
 
 UpstreamReservation::~UpstreamReservation()
@@ -146,6 +217,9 @@
   for (const configuration::Service& service : m_document.m_services) {
     auto pool = std::make_shared<Pool>();
     pool->m_service = service;
+    if (const auto previous = FindPool(service.m_name.m_value)) {
+      pool->m_demand = previous->m_demand;
+    }
     for (const objectstore::HostEntry& host : m_hosts) {
       if (host.m_service != service.m_name.m_value) {
         continue;
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,9 +15,44 @@
 #include "objectstore/hosts.h"
 #include "routing/choice.h"
 #include "routing/ejection.h"
+#include "routing/pacing.h"
 
 namespace heatherdeal::routing {
 
+/// Paces requests to an upstream that has named a limit. Any thread.
+class UpstreamPacing
+{
+public:
+  bool IsLimited() const { return m_isLimited.load(); }
+  /// Sets the requests per second that this host may send, or that there is no
+  /// limit. A new limit begins without permits.
+  void SetRate(const std::optional<double>& aRequestsPerSecond,
+               core::Instant aNow);
+  /// Returns when the next request may be sent; Instant{} if there is no limit.
+  core::Instant NextPermitAt() const;
+  /// Returns the requests per second that this host may send, 0 if there is no
+  /// limit.
+  double Rate() const;
+  void TakePermit(core::Instant aNow);
+
+private:
+  std::atomic<bool> m_isLimited{ false };
+  /// Guards m_permits.
+  mutable std::mutex m_mutex;
+  PacedPermits m_permits;
+};
+
+/// The demand of this host for a service, which traffic threads count.
+struct ServiceDemand
+{
+  /// Requests to be sent so far, each counted once, however often it is tried.
+  std::atomic<uint64_t> m_calls{ 0 };
+  /// Batch items that wait for an upstream.
+  std::atomic<uint32_t> m_waitingItems{ 0 };
+  /// Calls that wait for a permit.
+  std::atomic<uint32_t> m_waitingCalls{ 0 };
+};
+
 /// Statistics of one upstream that traffic threads update. They are kept across
 /// changes of the host list. Times are in microseconds of the monotonic clock.
 struct UpstreamStats
@@ -33,6 +69,7 @@
   /// Number of refusals since the last accepted request. Unless it is 0, only
   /// one batch item at a time is sent. Router ignores it.
   std::atomic<uint32_t> m_consecutiveRefusals{ 0 };
+  UpstreamPacing m_pacing;
   /// Set when the upstream itself announces that it is draining.
   std::atomic<bool> m_leaving{ false };
   /// Moving average of the time between the events of a stream, in
@@ -69,6 +106,8 @@
 {
   configuration::Service m_service;
   std::vector<Upstream> m_upstreams;
+  /// Kept across changes of the host list.
+  std::shared_ptr<ServiceDemand> m_demand = std::make_shared<ServiceDemand>();
 };
 
 /// The pools of all services, by service name.
@@ -109,6 +148,20 @@
   size_t m_index;
 };
 
+/// When requests may be sent to a service all of whose usable upstreams have
+/// named limits that are used up.
+struct PermitForecast
+{
+  core::Instant m_nextPermitAt{};
+  /// Permits of this host at all usable upstreams together.
+  double m_permitsPerSecond = 0.0;
+};
+
+/// Returns the forecast if only the upstreams' own limits keep a request from
+/// being sent now.
+std::optional<PermitForecast>
+ForecastPermits(const Pool& aPool, core::Instant aNow);
+
 /// Chooses upstreams for requests. Functions may be called on any thread unless
 /// stated otherwise.
 class Router
@@ -125,6 +178,9 @@
   /// service.
   std::shared_ptr<const Pool> FindPool(std::string_view aService) const;
 
+  /// Returns the current pools.
+  std::shared_ptr<const Pools> ReadPools() const { return m_pools.Read(); }
+
   /// Chooses an upstream by the service's routing policy. Returns null if no
   /// upstream of the pool is usable.
   std::unique_ptr<UpstreamReservation> ReserveUpstream(
