Send a worker no further requests after its answer says that it leaves

Cause: the flag for it in UpstreamStats was read everywhere and set nowhere; only the host list told that a worker leaves. Class: the same as of the limit.

Not part of it: the mark in reports and in answers to orders, and telling other hosts.

--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -216,7 +216,7 @@
   const std::unique_ptr<http::ResponseStream> stream = *std::move(opened);
   const relay::DecodedHead decodedHead =
     relay::CodecInUse().m_decodeHead(stream->Head(), aTask.m_itemId);
-  relay::ReportLimit(*aTask.m_limits, engine, decodedHead);
+  relay::ReportSignals(*aTask.m_limits, *aTask.m_reservation, decodedHead);
   if (!std::holds_alternative<relay::Served>(decodedHead.m_outcome)) {
     const bool isMismatched =
       std::holds_alternative<relay::MismatchedResponse>(decodedHead.m_outcome);
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -111,16 +111,19 @@
 } // namespace
 
 void
-ReportLimit(limits::UpstreamLimits& aLimits,
-            const routing::Upstream& aUpstream,
-            const DecodedHead& aHead)
+ReportSignals(limits::UpstreamLimits& aLimits,
+              routing::UpstreamReservation& aReservation,
+              const DecodedHead& aHead)
 {
   const bool isServed = std::holds_alternative<Served>(aHead.m_outcome);
+  const bool isRefusal = std::holds_alternative<NotExecuted>(aHead.m_outcome);
   const bool namesLimit =
-    std::holds_alternative<NotExecuted>(aHead.m_outcome) &&
     std::holds_alternative<limits::LimitNamed>(aHead.m_limit);
-  if (isServed || namesLimit) {
-    aLimits.ReportAnswer(aUpstream, aHead.m_limit);
+  if (isServed || (isRefusal && namesLimit)) {
+    aLimits.ReportAnswer(aReservation.Chosen(), aHead.m_limit);
+  }
+  if ((isServed || isRefusal) && aHead.m_isLeaving) {
+    aReservation.ReportLeaving();
   }
 }
 
@@ -153,7 +156,7 @@
   const http::ResponseHead& head = aStream.Head();
   const DecodedHead decodedHead = CodecInUse().m_decodeHead(head, aCall.m_id);
   aReservation.ReportAnswer(kernel::Now());
-  ReportLimit(*m_limits, aReservation.Chosen(), decodedHead);
+  ReportSignals(*m_limits, aReservation, decodedHead);
   if (decodedHead.m_load) {
     RecordLoad(aReservation, *decodedHead.m_load);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -52,12 +52,13 @@
   std::string m_proof;
 };
 
-/// Records what an answer says of its upstream's limit. The answer of another
-/// instance says nothing, and a refusal without a limit does not lift one.
+/// Records what an answer says of its upstream: its limit, and whether it
+/// leaves. The answer of another instance says nothing, and a refusal without a
+/// limit does not lift one.
 void
-ReportLimit(limits::UpstreamLimits& aLimits,
-            const routing::Upstream& aUpstream,
-            const DecodedHead& aHead);
+ReportSignals(limits::UpstreamLimits& aLimits,
+              routing::UpstreamReservation& aReservation,
+              const DecodedHead& aHead);
 
 /// Sends requests to the upstreams of their route, and retries them where this
 /// is safe.
--- a/src/relay/upstreamcodec.h
+++ b/src/relay/upstreamcodec.h
@@ -62,6 +62,8 @@
   UpstreamOutcome m_outcome;
   std::optional<LoadReport> m_load;
   limits::LimitStatement m_limit;
+  /// True if the upstream says that it leaves and must get no new requests.
+  bool m_isLeaving = false;
   /// The weight version at the start of the response.
   std::optional<core::WeightVersion> m_version;
 };
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -3,6 +3,7 @@
 #include "xxhash.h"
 
 #include "kernel/controlthread.h"
+#include "kernel/eventlog.h"
 
 namespace heatherdeal::routing {
 
@@ -139,6 +140,17 @@
   Chosen().m_stats->m_answeredAt.store(aNow.time_since_epoch().count());
 }
 
+void
+UpstreamReservation::ReportLeaving()
+{
+  if (!Chosen().m_stats->m_leaving.exchange(true)) {
+    kernel::LogEvent(kernel::LogLevel::Info,
+                     "routing",
+                     "upstream-leaving",
+                     { { "upstream", Chosen().m_id.m_value } });
+  }
+}
+
 void
 UpstreamReservation::ReportSuccess()
 {
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -70,7 +70,7 @@
   /// one batch item at a time is sent. Router ignores it.
   std::atomic<uint32_t> m_consecutiveRefusals{ 0 };
   UpstreamPacing m_pacing;
-  /// Set when the upstream itself announces that it is draining.
+  /// Set when an answer of the upstream says that it leaves.
   std::atomic<bool> m_leaving{ false };
   /// Moving average of the time between the events of a stream, in
   /// microseconds, or 0 if not measured yet.
@@ -131,6 +131,9 @@
 
   /// Records that the head of a response has arrived, whatever its status.
   void ReportAnswer(core::Instant aNow);
+  /// Records that the upstream leaves. It gets no new requests until its
+  /// process restarts.
+  void ReportLeaving();
   /// Records that the request succeeded.
   void ReportSuccess();
   /// Records that the request failed, which may eject the upstream.
