Keep refused requests in the object store

Cause: the observations that the hosts share live in their memory only. Class: a state that survives each host's loss but not the loss of all.

Change: hosts with the setting quarantine.persists, on the platform the rollout hosts, read the refused requests when they start and store them after a refusal, by a conditional write, unless another host has. Nothing waits for the store.

--- a/src/quarantine/decisions/suspects.cpp
+++ b/src/quarantine/decisions/suspects.cpp
@@ -305,6 +305,26 @@
     }));
 }
 
+std::vector<SuspectReport>
+CollectRefused(const QuarantineState& aState, core::Instant aNow)
+{
+  std::vector<const std::pair<const Fingerprint, SuspectRequest>*> refused;
+  for (const auto& entry : aState.m_suspects) {
+    if (IsRefused(aState.m_policy, entry.second, aNow)) {
+      refused.push_back(&entry);
+    }
+  }
+  std::ranges::sort(refused, std::greater(), [](const auto* aEntry) {
+    return FindLastCrash(aEntry->second);
+  });
+  std::vector<SuspectReport> reports;
+  for (const auto* entry : refused) {
+    reports.push_back(
+      { entry->first, entry->second.m_crashes, entry->second.m_lastServedAt });
+  }
+  return reports;
+}
+
 std::vector<SuspectReport>
 TakeDueReports(QuarantineState& aState, size_t aMaxCount, core::Instant aNow)
 {
--- a/src/quarantine/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -3,6 +3,7 @@
 #include "gossip/gossip.h"
 #include "kernel/eventlog.h"
 #include "quarantine/fingerprint.h"
+#include "quarantine/internal/refusalstore.h"
 #include "quarantine/internal/suspectcodec.h"
 
 namespace heatherdeal::quarantine {
@@ -15,10 +16,11 @@
 } // namespace
 
 Quarantine::Quarantine(kernel::Context& aContext,
-                       const QuarantinePolicy& aPolicy)
+                       const QuarantineSettings& aSettings)
   : m_context(aContext)
+  , m_persists(aSettings.m_persists)
 {
-  m_state.m_policy = aPolicy;
+  m_state.m_policy = aSettings.m_policy;
 }
 
 void
@@ -30,6 +32,19 @@
     { std::string(kTopicName),
       [self](size_t aMaxBytes) { return self->ComposeReports(aMaxBytes); },
       [self](std::string_view aEncoded) { self->ReceiveReports(aEncoded); } });
+  if (!m_persists) {
+    return;
+  }
+  m_refusalStore = std::make_shared<RefusalStore>(
+    m_context,
+    [self] {
+      const std::scoped_lock lock(self->m_mutex);
+      return CollectRefused(self->m_state, kernel::Now());
+    },
+    [self](std::span<const SuspectReport> aReports) {
+      self->MergeReports(aReports);
+    });
+  m_refusalStore->Load();
 }
 
 std::optional<core::Instant>
@@ -83,14 +98,20 @@
 void
 Quarantine::ReceiveReports(std::string_view aEncoded)
 {
-  const core::Instant now = kernel::Now();
   const absl::StatusOr<std::vector<SuspectReport>> reports =
-    DecodeReports(aEncoded, now);
+    DecodeReports(aEncoded, kernel::Now());
   if (!reports.ok()) {
     m_context.Metrics().Get("quarantine.invalid_reports").Add();
     return;
   }
-  for (const SuspectReport& report : *reports) {
+  MergeReports(*reports);
+}
+
+void
+Quarantine::MergeReports(std::span<const SuspectReport> aReports)
+{
+  const core::Instant now = kernel::Now();
+  for (const SuspectReport& report : aReports) {
     Learned learned = Learned::Nothing;
     {
       const std::scoped_lock lock(m_mutex);
@@ -119,6 +140,10 @@
     { { "fingerprint", ToText(aFingerprint) },
       { "for_ms",
         end ? kernel::Milliseconds(*end - kernel::Now()) : int64_t{ 0 } } });
+  if (m_persists) {
+    m_context.Control().Post(
+      [self = shared_from_this()] { self->m_refusalStore->Save(); });
+  }
 }
 
 void
--- a/src/quarantine/suspects.h
+++ b/src/quarantine/suspects.h
@@ -152,6 +152,10 @@
 size_t
 CountRefused(const QuarantineState& aState, core::Instant aNow);
 
+/// Returns the requests that are refused, those that were refused last first.
+std::vector<SuspectReport>
+CollectRefused(const QuarantineState& aState, core::Instant aNow);
+
 /// Returns up to aMaxCount reports that are due, those of the most crashes
 /// first, and marks them as reported. Removes expired entries.
 std::vector<SuspectReport>
