Let a host that no longer follows relays call the store without waiting for them

Trace: store-sisli-1 listed the workers at 17.4 s and next at 32.9 s, and the entry hosts that follow it knew as little. Logs added in a scratch copy show the relists asked for every 0.8 to 2.4 s and dropped, because one was already pending, for up to 29 s, while no call was in flight.

Cause: a follower whose relays report an outage may call the store once in 2 s, all its kinds together. A host that becomes one of those that watch the store itself, while it still remembers such a report, has no relay left to take it back: each of its kinds waits for its turn, with the turns taken by the others. Class: a memory of a state that only its end clears, kept where the end can no longer be seen.

Change: a host that follows no relay forgets what relays reported.

Evidence: objectstoretest.cpp, 'lists[kind].load() >= kRelists - 1 with expansion: 1 >= 9' before, three kinds alike; passes after (144 assertions in the program).

--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -83,6 +83,11 @@
   if (isFirstList) {
     return StoreSource{};
   }
+  if (relays->empty()) {
+    // What relays reported means nothing to a host that follows none any more.
+    m_relaysUnavailableSince.reset();
+    return StoreSource{};
+  }
   for (const core::Endpoint& relay : *relays) {
     const auto retryAt = m_failedRelayRetryAt.find(relay);
     if (retryAt == m_failedRelayRetryAt.end() || retryAt->second <= now) {
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -470,6 +470,53 @@
   CHECK(relay.m_requests.load() <= relayRequests + 4);
 }
 
+// Guards against a host that learns of changes many seconds late, because it
+// still waits for relays that it no longer has (DRAIN).
+TEST_CASE("a host that stops following relays during an outage relists at once")
+{
+  constexpr uint32_t kUnavailable = 503;
+  constexpr int kRelists = 10;
+  StoreFixture store;
+  REQUIRE(store.Write(0, "a").ok());
+  ScriptedStore relay({ ErrorResponse(kUnavailable) });
+  HostPair hosts(store.m_loopback.Self());
+  const std::vector<core::Endpoint> relays{ relay.m_loopback.Self() };
+  const std::vector<std::string> kinds{ "kind", "other", "third" };
+  std::map<std::string, std::atomic<int>> lists;
+  for (const std::string& kind : kinds) {
+    lists[kind] = 0;
+  }
+  kernel::ControlThread& control = hosts.m_remoteLoopback.Kernel().Control();
+  control.Post([&] {
+    hosts.m_remoteClient->SetWatchRelays(relays);
+    for (const std::string& kind : kinds) {
+      hosts.m_remoteClient->Watch(
+        kind, [&lists, kind](std::span<const StoredObject>) {
+          lists[kind].fetch_add(1);
+        });
+    }
+  });
+  std::this_thread::sleep_for(seconds(3));
+  // From now on the host is one of those that watch the store for others.
+  control.Post([&] { hosts.m_remoteClient->SetWatchRelays({}); });
+  std::this_thread::sleep_for(seconds(1));
+  for (const std::string& kind : kinds) {
+    lists[kind] = 0;
+  }
+  for (int i = 0; i < kRelists; ++i) {
+    control.Post([&] {
+      for (const std::string& kind : kinds) {
+        hosts.m_remoteClient->RelistIfOlderThan(kind, UINT64_MAX);
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(400));
+  }
+  for (const std::string& kind : kinds) {
+    INFO(kind);
+    CHECK(lists[kind].load() >= kRelists - 1);
+  }
+}
+
 TEST_CASE(
   "a starting host lists a kind from a bootstrap relay, without calling "
   "the store")
