Decode all gossip payloads with one function

Three codecs each had the same frame of stream, archive and catch around their loader; protocol::DecodeArchive serves all three. The size of a frame's header stood as a number in gossip.cpp beside the one in frame.cpp; frame.h names it, and frame.cpp asserts it. Behaviour and error texts are unchanged.

--- a/src/gossip/internal/digestcodec.cpp
+++ b/src/gossip/internal/digestcodec.cpp
@@ -3,7 +3,6 @@
 #include <istream>
 #include <sstream>
 
-#include "core/failure.h"
 #include "protocol/binaryarchive.h"
 
 namespace heatherdeal::gossip {
@@ -177,17 +176,15 @@
 absl::StatusOr<Digest>
 Decode(std::span<const std::byte> aBytes)
 {
-  try {
-    protocol::SpanBuffer buffer(aBytes);
-    std::istream stream(&buffer);
-    InputArchive archive(stream);
-    Digest digest = LoadDigest(archive);
-    LoadTopicMessages(stream, archive, digest);
-    return digest;
-  } catch (const std::exception&) {
-    return core::ToStatus(core::InvalidInput{
-      "digest", "a complete digest within its size limits" });
-  }
+  return protocol::DecodeArchive(
+    aBytes,
+    "digest",
+    "a complete digest within its size limits",
+    [](InputArchive& aArchive, std::istream& aStream) {
+      Digest digest = LoadDigest(aArchive);
+      LoadTopicMessages(aStream, aArchive, digest);
+      return digest;
+    });
 }
 
 } // namespace heatherdeal::gossip
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -23,7 +23,6 @@
 constexpr uint32_t kHttpOk = 200;
 constexpr core::Duration kFetchTimeout = std::chrono::seconds(2);
 constexpr core::Duration kNewsInterval = std::chrono::milliseconds(50);
-constexpr size_t kFrameHeaderBytes = 18;
 // Of a topic message: its name, and the lengths of name and payload.
 constexpr size_t kTopicOverheadBytes = kMaxNameBytes + 4;
 
@@ -165,7 +164,7 @@
 Gossip::ComposeTopicMessages(const Digest& aDigest)
 {
   std::vector<TopicMessage> messages;
-  const size_t usedBytes = Encode(aDigest).size() + kFrameHeaderBytes;
+  const size_t usedBytes = Encode(aDigest).size() + protocol::kFrameHeaderBytes;
   size_t freeBytes =
     protocol::kMaxFrameBytes - std::min(usedBytes, protocol::kMaxFrameBytes);
   for (const Topic& topic : m_topics) {
--- a/src/limits/internal/limitcodec.cpp
+++ b/src/limits/internal/limitcodec.cpp
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <istream>
 #include <sstream>
 
-#include "core/failure.h"
 #include "protocol/binaryarchive.h"
 
 namespace heatherdeal::limits {
@@ -115,25 +113,22 @@
 absl::StatusOr<LimitMessage>
 DecodeMessage(std::string_view aBytes, core::Instant aNow)
 {
-  try {
-    protocol::SpanBuffer buffer(
-      std::as_bytes(std::span(aBytes.data(), aBytes.size())));
-    std::istream stream(&buffer);
-    InputArchive archive(stream);
-    LimitMessage message;
-    const auto limits = LoadCount<uint8_t>(archive, kMaxLimitsPerMessage);
-    const auto demands = LoadCount<uint8_t>(archive, kMaxDemandsPerMessage);
-    for (uint8_t i = 0; i < limits; ++i) {
-      message.m_limits.push_back(LoadLimit(archive, aNow));
-    }
-    for (uint8_t i = 0; i < demands; ++i) {
-      message.m_demands.push_back(LoadDemand(archive, aNow));
-    }
-    return message;
-  } catch (const std::exception&) {
-    return core::ToStatus(
-      core::InvalidInput{ "limits", "a complete message within its limits" });
-  }
+  return protocol::DecodeArchive(
+    std::as_bytes(std::span(aBytes.data(), aBytes.size())),
+    "limits",
+    "a complete message within its limits",
+    [aNow](InputArchive& aArchive, std::istream&) {
+      LimitMessage message;
+      const auto limits = LoadCount<uint8_t>(aArchive, kMaxLimitsPerMessage);
+      const auto demands = LoadCount<uint8_t>(aArchive, kMaxDemandsPerMessage);
+      for (uint8_t i = 0; i < limits; ++i) {
+        message.m_limits.push_back(LoadLimit(aArchive, aNow));
+      }
+      for (uint8_t i = 0; i < demands; ++i) {
+        message.m_demands.push_back(LoadDemand(aArchive, aNow));
+      }
+      return message;
+    });
 }
 
 } // namespace heatherdeal::limits
--- a/src/protocol/binaryarchive.h
+++ b/src/protocol/binaryarchive.h
@@ -4,11 +4,18 @@
 #include <cstddef>
 #include <cstdint>
 #include <exception>
+#include <istream>
 #include <span>
 #include <streambuf>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include "absl/status/statusor.h"
 
 #include "cereal/archives/portable_binary.hpp"
 
+#include "core/failure.h"
 #include "core/instant.h"
 
 namespace heatherdeal::protocol {
@@ -78,4 +85,25 @@
   return aNow - std::chrono::milliseconds(age);
 }
 
+/// Returns what aLoad(archive, stream) reads from the bytes. Returns
+/// InvalidInput with aWhere and aExpected if the bytes are truncated or aLoad
+/// throws.
+template<typename Load>
+absl::StatusOr<std::invoke_result_t<Load&, InputArchive&, std::istream&>>
+DecodeArchive(std::span<const std::byte> aBytes,
+              std::string_view aWhere,
+              std::string_view aExpected,
+              Load&& aLoad)
+{
+  try {
+    SpanBuffer buffer(aBytes);
+    std::istream stream(&buffer);
+    InputArchive archive(stream);
+    return aLoad(archive, stream);
+  } catch (const std::exception&) {
+    return core::ToStatus(
+      core::InvalidInput{ std::string(aWhere), std::string(aExpected) });
+  }
+}
+
 } // namespace heatherdeal::protocol
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -13,6 +13,8 @@
 
 /// Maximum size of a frame (one datagram between processes), in bytes.
 inline constexpr size_t kMaxFrameBytes = 2800;
+/// Size of what a frame holds before its payload, in bytes.
+inline constexpr size_t kFrameHeaderBytes = 18;
 
 /// Holds the secrets that authenticate datagrams, by key number. Frames are
 /// signed with the active key and accepted with any key, so that keys can be
@@ -24,7 +26,7 @@
 };
 
 /// Returns a signed frame that contains the payload. The caller ensures that
-/// the payload and the 18-byte header fit into kMaxFrameBytes.
+/// the payload and kFrameHeaderBytes fit into kMaxFrameBytes.
 std::vector<std::byte>
 EncodeFrame(const KeyRing& aKeys, std::span<const std::byte> aPayload);
 
--- a/src/protocol/internal/frame.cpp
+++ b/src/protocol/internal/frame.cpp
@@ -21,7 +21,7 @@
 constexpr size_t kKeyNumberOffset = 1;
 constexpr size_t kSignatureOffset = 2;
 constexpr size_t kSignatureBytes = 16;
-constexpr size_t kHeaderBytes = kSignatureOffset + kSignatureBytes;
+static_assert(kFrameHeaderBytes == kSignatureOffset + kSignatureBytes);
 
 using Signature = std::array<std::byte, kSignatureBytes>;
 
@@ -70,7 +70,7 @@
 absl::StatusOr<std::span<const std::byte>>
 DecodeFrame(const KeyRing& aKeys, std::span<const std::byte> aFrame)
 {
-  if (aFrame.size() < kHeaderBytes || aFrame.size() > kMaxFrameBytes) {
+  if (aFrame.size() < kFrameHeaderBytes || aFrame.size() > kMaxFrameBytes) {
     return InvalidFrame("frame", "18 to 2800 bytes");
   }
   if (aFrame[kVersionOffset] != kFrameVersion) {
@@ -81,7 +81,7 @@
   if (key == aKeys.m_secrets.end()) {
     return InvalidFrame("frame key", "the number of a configured key");
   }
-  const auto payload = aFrame.subspan(kHeaderBytes);
+  const auto payload = aFrame.subspan(kFrameHeaderBytes);
   const Signature expected = ComputeSignature(key->second, keyNumber, payload);
   const auto actual = aFrame.subspan(kSignatureOffset, kSignatureBytes);
   if (CRYPTO_memcmp(expected.data(), actual.data(), kSignatureBytes) != 0) {
--- a/src/quarantine/internal/suspectcodec.cpp
+++ b/src/quarantine/internal/suspectcodec.cpp
@@ -1,9 +1,7 @@
 #include "quarantine/internal/suspectcodec.h"
 
-#include <istream>
 #include <sstream>
 
-#include "core/failure.h"
 #include "protocol/binaryarchive.h"
 
 namespace heatherdeal::quarantine {
@@ -101,21 +99,18 @@
 absl::StatusOr<std::vector<SuspectReport>>
 DecodeReports(std::string_view aBytes, core::Instant aNow)
 {
-  try {
-    protocol::SpanBuffer buffer(
-      std::as_bytes(std::span(aBytes.data(), aBytes.size())));
-    std::istream stream(&buffer);
-    InputArchive archive(stream);
-    std::vector<SuspectReport> reports;
-    const auto count = LoadCount<uint8_t>(archive, kMaxReports);
-    for (uint8_t i = 0; i < count; ++i) {
-      reports.push_back(LoadReport(archive, aNow));
-    }
-    return reports;
-  } catch (const std::exception&) {
-    return core::ToStatus(core::InvalidInput{
-      "suspect reports", "complete reports within their limits" });
-  }
+  return protocol::DecodeArchive(
+    std::as_bytes(std::span(aBytes.data(), aBytes.size())),
+    "suspect reports",
+    "complete reports within their limits",
+    [aNow](InputArchive& aArchive, std::istream&) {
+      std::vector<SuspectReport> reports;
+      const auto count = LoadCount<uint8_t>(aArchive, kMaxReports);
+      for (uint8_t i = 0; i < count; ++i) {
+        reports.push_back(LoadReport(aArchive, aNow));
+      }
+      return reports;
+    });
 }
 
 } // namespace heatherdeal::quarantine
