Ask whether refusals are stored in one place

A flag that repeats whether the store of refusals exists was read on traffic threads, and a plug-in that had not started yet would have followed a null pointer. The control thread looks at the store itself now.

--- a/src/quarantine/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -140,10 +140,11 @@
     { { "fingerprint", ToText(aFingerprint) },
       { "for_ms",
         end ? kernel::Milliseconds(*end - kernel::Now()) : int64_t{ 0 } } });
-  if (m_persists) {
-    m_context.Control().Post(
-      [self = shared_from_this()] { self->m_refusalStore->Save(); });
-  }
+  m_context.Control().Post([self = shared_from_this()] {
+    if (self->m_refusalStore) {
+      self->m_refusalStore->Save();
+    }
+  });
 }
 
 void
