Count waiting items only where an engine names a limit

Each pass that starts items counted all that wait, on the control thread, though only the shares of a limit need the number.

--- a/src/batches/internal/poolviews.cpp
+++ b/src/batches/internal/poolviews.cpp
@@ -70,6 +70,8 @@
   const core::Instant now = kernel::Now();
   for (const routing::Upstream& upstream : aPool->m_upstreams) {
     view.m_engines.push_back(MakeSnapshot(upstream, aWeights, now));
+    view.m_hasLimits =
+      view.m_hasLimits || upstream.m_stats->m_pacing.IsLimited();
   }
   view.m_pool = std::move(aPool);
   view.m_weights = aWeights;
--- a/src/batches/internal/poolviews.h
+++ b/src/batches/internal/poolviews.h
@@ -15,7 +15,9 @@
   std::shared_ptr<const routing::Pool> m_pool;
   std::string m_weights;
   std::vector<EngineSnapshot> m_engines;
-  /// Items that no engine is usable for.
+  /// True if an engine of the pool names a limit.
+  bool m_hasLimits = false;
+  /// Items that no engine is usable for; counted only if m_hasLimits.
   uint32_t m_waitingItems = 0;
 };
 
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -179,7 +179,9 @@
     const std::optional<size_t> engine =
       ChooseEngine(run, *item, view.m_engines);
     if (!engine) {
-      view.m_waitingItems += CountItemsToStart(run, kernel::Now());
+      if (view.m_hasLimits) {
+        view.m_waitingItems += CountItemsToStart(run, kernel::Now());
+      }
       ProbeEngine(aOwned, view);
       return;
     }
