--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -22,6 +22,7 @@
 using TrainerId = Name<struct TrainerTag>;
 using ServiceId = Name<struct ServiceTag>;
 using FailureDomainId = Name<struct FailureDomainTag>;
+using SoftwareVersion = Name<struct SoftwareVersionTag>;
 
 /// Identifies a part of a job. One owner at a time generates and delivers its
 /// samples.
@@ -46,6 +47,17 @@
   auto operator<=>(const SampleId&) const = default;
 };
 
+/// The software that an upstream runs, whatever its weights. Text of one
+/// software cannot be continued by another.
+struct Software
+{
+  ServiceId m_service;
+  /// Empty if the deployment does not tell versions apart.
+  SoftwareVersion m_version;
+
+  auto operator<=>(const Software&) const = default;
+};
+
 /// Identifies one run of an upstream's process, on every host alike; a restart
 /// gets another value.
 struct UpstreamRun
--- a/src/objectstore/hostlist.h
+++ b/src/objectstore/hostlist.h
@@ -48,6 +48,7 @@
   uint16_t m_gossipPort = 0;
   FencingCheck m_fencingCheck = ChecksFencingToken{};
   std::vector<ServedWeights> m_weights;
+  core::SoftwareVersion m_softwareVersion;
   /// Changes each time a host restarts under the same name; 0 if unknown.
   uint64_t m_incarnation = 0;
 };
--- a/src/objectstore/internal/hostlist.cpp
+++ b/src/objectstore/internal/hostlist.cpp
@@ -27,6 +27,7 @@
   if (!aReader.FlagOr("checks_fence", true)) {
     entry.m_fencingCheck = IgnoresFencingToken{};
   }
+  entry.m_softwareVersion.m_value = aReader.TextOr("software_version", "");
   entry.m_incarnation = static_cast<uint64_t>(
     aReader.IntegerOr("incarnation", { 0, INT64_MAX }, 0));
   aReader.ForEach(
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -136,6 +136,7 @@
   std::vector<size_t> m_triedUpstreams;
   core::Instant m_refusalRetryDeadline{};
   std::string m_lastUpstream;
+  core::Software m_lastSoftware;
   uint32_t m_refusals = 0;
 };
 
@@ -218,6 +219,7 @@
   aState.m_waiting.reset();
   aState.m_triedUpstreams.push_back(reservation->Index());
   aState.m_lastUpstream = reservation->Chosen().m_id.m_value;
+  aState.m_lastSoftware = reservation->Chosen().m_software;
   const core::Instant deadline = AttemptDeadline(
     aCall.m_route, aState.m_retryProgress.m_attempts, now, aCall.m_deadline);
   http::Request request = aCall.m_request;
@@ -352,6 +354,7 @@
       { { "request", aCall.m_id },
         { "route", aCall.m_route.m_name },
         { "upstream", state.m_lastUpstream },
+        { "software", state.m_lastSoftware.m_version.m_value },
         { "fingerprint", DescribeFingerprint(aCall.m_origin) },
         { "attempts", state.m_retryProgress.m_attempts },
         { "refusals", state.m_refusals },
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -244,13 +244,15 @@
         existing->second->m_incarnation == host.m_incarnation;
       stats = isSameRun ? existing->second : std::make_shared<UpstreamStats>();
       stats->m_incarnation = host.m_incarnation;
-      pool->m_upstreams.push_back({ id,
-                                    host.m_endpoint,
-                                    host.m_failureDomain,
-                                    host.m_slots,
-                                    host.m_leaving,
-                                    stats,
-                                    host.m_weights });
+      pool->m_upstreams.push_back(
+        { id,
+          host.m_endpoint,
+          host.m_failureDomain,
+          host.m_slots,
+          host.m_leaving,
+          stats,
+          host.m_weights,
+          { service.m_name, host.m_softwareVersion } });
     }
     pools.m_byService.emplace(service.m_name.m_value, std::move(pool));
   }
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -95,6 +95,7 @@
   bool m_leaving = false;
   std::shared_ptr<UpstreamStats> m_stats;
   std::vector<objectstore::ServedWeights> m_weights;
+  core::Software m_software;
 };
 
 /// Returns the identity of the upstream's process.
