Resume an item's text only at the software that began it

Trainers got texts whose first part came from one software version of an engine and the rest from another. Cause: the choice of an engine for an interrupted item looked at load, speed and weights only, and a checkpoint kept the text without what had generated it.

An item with a text runs only on engines of the same service and software version, also when it is moved off a slow engine, probes one, or comes from a checkpoint. It waits up to a second while these are full, without holding other items up, and begins again at once when none of them stays. A checkpoint without the record of the software (of an earlier build) is not used.

FindProbe takes the place of FindEngineToProbe and FindProbeItem, since which item may probe depends on the engine; its checks are the same.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "batches/batchrun.h"
+#include "batches/engines.h"
 #include "configuration/activeconfiguration.h"
 #include "core/failure.h"
 #include "gossip/gossip.h"
@@ -269,10 +270,12 @@
   /// Sends one item to an engine that has refused items, to find out whether
   /// it accepts them again.
   void ProbeEngine(const OwnedPtr& aOwned, PoolView& aView);
+  /// Discards texts that no engine of the pool will continue. Returns true if
+  /// there were any.
+  bool DiscardTexts(const OwnedPtr& aOwned, const PoolView& aView);
   void StartItem(const OwnedPtr& aOwned,
-                 size_t aItem,
-                 PoolView& aView,
-                 size_t aEngine);
+                 const ItemStart& aStart,
+                 PoolView& aView);
   void StartScoreRequests(const OwnedPtr& aOwned);
   /// Returns false if no route matches the scoring request.
   bool StartScoreRequest(const OwnedPtr& aOwned, size_t aItem);
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -74,6 +74,12 @@
   uint32_t m_failedScores = 0;
   /// The engine that ran the item last; a retry prefers another one.
   core::UpstreamId m_lastEngine;
+  /// The software that generated the text. Only engines that run it can
+  /// continue the text.
+  core::Software m_software;
+  /// When the text is discarded unless an engine has continued it; Instant{}
+  /// while that is not decided.
+  core::Instant m_resumeUntil{};
 };
 
 /// Results that are stored as one object. The positions of results follow from
@@ -93,6 +99,8 @@
   /// The id of the last event that the text holds.
   uint64_t m_lastEvent = 0;
   std::vector<core::WeightVersion> m_versions;
+  /// The software that generated the text; nothing if that is not recorded.
+  std::optional<core::Software> m_software;
 };
 
 /// The unfinished texts of a batch, so that the next owner can resume them.
@@ -213,17 +221,25 @@
 std::optional<size_t>
 FindNextItemToStart(const BatchRun& aRun, core::Instant aNow);
 
-/// Returns the last item in start order that may start now, if any.
-std::optional<size_t>
-FindLastItemToStart(const BatchRun& aRun, core::Instant aNow);
+/// True if the item may start now.
+bool
+CanStart(const BatchRun& aRun, size_t aItem, core::Instant aNow);
 
 /// Returns the number of items that may start now.
 uint32_t
 CountItemsToStart(const BatchRun& aRun, core::Instant aNow);
 
-/// Starts a run of an item on an engine. Returns the number of the run.
+/// An engine and the software that it runs.
+struct EngineIdentity
+{
+  core::UpstreamId m_id;
+  core::Software m_software;
+};
+
+/// Starts a run of an item on an engine, which must be able to continue the
+/// item's text. Returns the number of the run.
 uint64_t
-StartItemRun(BatchRun& aRun, size_t aItem, const core::UpstreamId& aEngine);
+StartItemRun(BatchRun& aRun, size_t aItem, const EngineIdentity& aEngine);
 
 /// Applies the final report of a run; ignored if the run is not the item's
 /// current one.
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -70,6 +70,7 @@
   }
   aItem.m_text += aReport.m_text;
   aItem.m_eventCount = aReport.m_lastEvent;
+  aItem.m_resumeUntil = {};
   AddVersions(aItem.m_versions, aReport.m_versions);
 }
 
@@ -198,14 +199,14 @@
            : std::max(waiting->m_notBefore, aRun.m_policy.m_shortItemsStartAt);
 }
 
+} // namespace
+
 bool
 CanStart(const BatchRun& aRun, size_t aItem, core::Instant aNow)
 {
   return EarliestStart(aRun, aItem) <= aNow;
 }
 
-} // namespace
-
 BatchRun
 MakeBatchRun(std::shared_ptr<const Submission> aSubmission, BatchPolicy aPolicy)
 {
@@ -238,16 +239,6 @@
   return next == aRun.m_startOrder.end() ? std::nullopt : std::optional(*next);
 }
 
-std::optional<size_t>
-FindLastItemToStart(const BatchRun& aRun, core::Instant aNow)
-{
-  const auto last =
-    std::find_if(aRun.m_startOrder.rbegin(),
-                 aRun.m_startOrder.rend(),
-                 [&](size_t aIndex) { return CanStart(aRun, aIndex, aNow); });
-  return last == aRun.m_startOrder.rend() ? std::nullopt : std::optional(*last);
-}
-
 uint32_t
 CountItemsToStart(const BatchRun& aRun, core::Instant aNow)
 {
@@ -258,13 +249,14 @@
 }
 
 uint64_t
-StartItemRun(BatchRun& aRun, size_t aItem, const core::UpstreamId& aEngine)
+StartItemRun(BatchRun& aRun, size_t aItem, const EngineIdentity& aEngine)
 {
   aRun.m_lastRunNumber += 1;
   ItemState& item = aRun.m_items[aItem];
   item.m_phase = ItemRunning{ aRun.m_lastRunNumber };
-  item.m_lastEngine = aEngine;
-  aRun.m_groupEngines[aRun.m_submission->m_items[aItem].m_group] = aEngine;
+  item.m_lastEngine = aEngine.m_id;
+  item.m_software = aEngine.m_software;
+  aRun.m_groupEngines[aRun.m_submission->m_items[aItem].m_group] = aEngine.m_id;
   return aRun.m_lastRunNumber;
 }
 
--- a/src/batches/decisions/checkpoint.cpp
+++ b/src/batches/decisions/checkpoint.cpp
@@ -28,7 +28,8 @@
       checkpoint.m_texts.push_back({ aRun.m_submission->m_items[i].m_id,
                                      item.m_text,
                                      item.m_eventCount,
-                                     item.m_versions });
+                                     item.m_versions,
+                                     item.m_software });
     }
   }
   aRun.m_nextCheckpointAt = core::Instant::max();
@@ -66,13 +67,15 @@
       continue;
     }
     ItemState& item = aRun.m_items[index->second];
-    if (!std::holds_alternative<ItemWaiting>(item.m_phase)) {
+    const bool isWaiting = std::holds_alternative<ItemWaiting>(item.m_phase);
+    if (!isWaiting || !text.m_software) {
       continue;
     }
     item.m_text = std::move(text.m_text);
     item.m_eventCount = text.m_lastEvent;
     item.m_versions = std::move(text.m_versions);
     item.m_checkpointedEvents = item.m_eventCount;
+    item.m_software = *std::move(text.m_software);
     if (!HasUsableVersions(aRun, item)) {
       ResetText(item);
       continue;
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -1,6 +1,9 @@
 #include "batches/engines.h"
 
 #include <algorithm>
+#include <map>
+
+#include "batches/decisions/itemstate.h"
 
 namespace heatherdeal::batches {
 
@@ -11,6 +14,9 @@
 constexpr double kSlowFactor = 1.7;
 // The fraction by which a fully loaded engine is slower than an idle one.
 constexpr double kFullLoadSlowdown = 0.1;
+// How long a text waits for an engine of its software. Engines refuse items
+// while they load weights, which takes almost as long.
+constexpr core::Duration kMaxResumeWait = std::chrono::seconds(1);
 
 bool
 CanRunBatch(const BatchRun& aRun, const EngineSnapshot& aEngine)
@@ -19,6 +25,29 @@
          aEngine.m_version >= aRun.m_submission->m_oldestAllowedVersion;
 }
 
+/// True if a text of the item that the engine generates fits to the text that
+/// there is already.
+bool
+CanContinueText(const ItemState& aItem, const EngineSnapshot& aEngine)
+{
+  return !HasText(aItem) || aItem.m_software == aEngine.m_software;
+}
+
+/// True if an engine that stays could continue the text of the item, sooner or
+/// later. The engines of another service, to which the route may alternate, say
+/// nothing about it.
+bool
+MayBeContinued(const ItemState& aItem, std::span<const EngineSnapshot> aEngines)
+{
+  return std::ranges::any_of(aEngines, [&](const EngineSnapshot& aEngine) {
+    const bool isOtherService =
+      aEngine.m_software.m_service != aItem.m_software.m_service;
+    const bool isSameSoftware =
+      !aEngine.m_isLeaving && aEngine.m_software == aItem.m_software;
+    return isOtherService || isSameSoftware;
+  });
+}
+
 bool
 HasFreeSlot(const EngineSnapshot& aEngine)
 {
@@ -108,8 +137,9 @@
   std::optional<size_t> previous;
   for (size_t i = 0; i < aEngines.size(); ++i) {
     const EngineSnapshot& engine = aEngines[i];
-    const bool usable =
-      CanRunBatch(aRun, engine) && HasFreeSlot(engine) && !engine.m_isRefusing;
+    const bool usable = CanRunBatch(aRun, engine) &&
+                        CanContinueText(item, engine) && HasFreeSlot(engine) &&
+                        !engine.m_isRefusing;
     if (!usable || (avoidSlow && slow[i])) {
       continue;
     }
@@ -128,55 +158,108 @@
   return best ? best : previous;
 }
 
-std::optional<size_t>
-FindEngineToProbe(const BatchRun& aRun,
-                  std::span<const EngineSnapshot> aEngines)
+std::optional<ItemStart>
+ChooseNextStart(const BatchRun& aRun,
+                std::span<const EngineSnapshot> aEngines,
+                core::Instant aNow)
 {
-  for (size_t i = 0; i < aEngines.size(); ++i) {
-    const EngineSnapshot& engine = aEngines[i];
-    if (engine.m_isRefusing && CanRunBatch(aRun, engine) &&
-        HasFreeSlot(engine)) {
-      return i;
+  for (const size_t index : aRun.m_startOrder) {
+    if (!CanStart(aRun, index, aNow)) {
+      continue;
+    }
+    const std::optional<size_t> engine = ChooseEngine(aRun, index, aEngines);
+    if (engine) {
+      return ItemStart{ index, *engine };
+    }
+    // Where an item without a text finds no engine, no such item does.
+    if (!HasText(aRun.m_items[index])) {
+      return std::nullopt;
     }
   }
   return std::nullopt;
 }
 
-std::optional<size_t>
-FindProbeItem(const BatchRun& aRun,
-              std::span<const EngineSnapshot> aEngines,
-              core::Instant aNow)
+std::optional<ItemStart>
+FindProbe(const BatchRun& aRun,
+          std::span<const EngineSnapshot> aEngines,
+          core::Instant aNow)
 {
   const bool otherEngineAccepts =
     std::ranges::any_of(aEngines, [&](const EngineSnapshot& aEngine) {
       return !aEngine.m_isRefusing && CanRunBatch(aRun, aEngine);
     });
-  return otherEngineAccepts ? FindLastItemToStart(aRun, aNow)
-                            : FindNextItemToStart(aRun, aNow);
+  for (size_t i = 0; i < aEngines.size(); ++i) {
+    const EngineSnapshot& engine = aEngines[i];
+    if (!engine.m_isRefusing || !CanRunBatch(aRun, engine) ||
+        !HasFreeSlot(engine)) {
+      continue;
+    }
+    std::optional<size_t> item;
+    for (const size_t index : aRun.m_startOrder) {
+      if (CanStart(aRun, index, aNow) &&
+          CanContinueText(aRun.m_items[index], engine)) {
+        item = index;
+        if (!otherEngineAccepts) {
+          break;
+        }
+      }
+    }
+    if (item) {
+      return ItemStart{ *item, i };
+    }
+  }
+  return std::nullopt;
+}
+
+size_t
+DiscardOrphanedTexts(BatchRun& aRun,
+                     std::span<const EngineSnapshot> aEngines,
+                     core::Instant aNow)
+{
+  size_t discarded = 0;
+  for (ItemState& item : aRun.m_items) {
+    if (!HasText(item) || !std::holds_alternative<ItemWaiting>(item.m_phase)) {
+      continue;
+    }
+    if (item.m_resumeUntil == core::Instant{}) {
+      item.m_resumeUntil = aNow + kMaxResumeWait;
+    }
+    if (!MayBeContinued(item, aEngines) || item.m_resumeUntil <= aNow) {
+      ResetText(item);
+      discarded += 1;
+    }
+  }
+  return discarded;
 }
 
 std::vector<size_t>
 FindItemsToMove(const BatchRun& aRun, std::span<const EngineSnapshot> aEngines)
 {
   const std::vector<bool> slow = FindSlowEngines(aEngines);
-  size_t freeSlots = 0;
+  // A text would be lost on an engine that runs other software.
+  std::map<core::Software, size_t> freeSlots;
   for (size_t i = 0; i < aEngines.size(); ++i) {
     const EngineSnapshot& engine = aEngines[i];
     if (!slow[i] && CanRunBatch(aRun, engine) && HasFreeSlot(engine)) {
-      freeSlots += engine.m_slots - engine.m_outstanding;
+      freeSlots[engine.m_software] += engine.m_slots - engine.m_outstanding;
     }
   }
   std::vector<size_t> items;
+  if (aRun.m_policy.m_singleVersion) {
+    return items;
+  }
   for (const size_t index : aRun.m_startOrder) {
-    if (items.size() >= freeSlots || aRun.m_policy.m_singleVersion) {
-      break;
-    }
     const ItemState& item = aRun.m_items[index];
     const auto engine =
       std::ranges::find(aEngines, item.m_lastEngine, &EngineSnapshot::m_id);
     const bool isRunning = std::holds_alternative<ItemRunning>(item.m_phase);
-    if (isRunning && engine != aEngines.end() &&
-        slow[static_cast<size_t>(engine - aEngines.begin())]) {
+    if (!isRunning || engine == aEngines.end() ||
+        !slow[static_cast<size_t>(engine - aEngines.begin())]) {
+      continue;
+    }
+    size_t& free = freeSlots[item.m_software];
+    if (free > 0) {
+      free -= 1;
       items.push_back(index);
     }
   }
--- a/src/batches/decisions/itemstate.cpp
+++ b/src/batches/decisions/itemstate.cpp
@@ -17,6 +17,13 @@
   aItem.m_eventCount = 0;
   aItem.m_checkpointedEvents = 0;
   aItem.m_versions.clear();
+  aItem.m_resumeUntil = {};
+}
+
+bool
+HasText(const ItemState& aItem)
+{
+  return aItem.m_eventCount > 0;
 }
 
 bool
--- a/src/batches/decisions/itemstate.h
+++ b/src/batches/decisions/itemstate.h
@@ -12,6 +12,10 @@
 void
 ResetText(ItemState& aItem);
 
+/// True if an engine has generated a part of the text.
+bool
+HasText(const ItemState& aItem);
+
 /// True if the batch may use the item's text, given its weight versions.
 bool
 HasUsableVersions(const BatchRun& aRun, const ItemState& aItem);
--- a/src/batches/engines.h
+++ b/src/batches/engines.h
@@ -12,6 +12,7 @@
 struct EngineSnapshot
 {
   core::UpstreamId m_id;
+  core::Software m_software;
   /// The number of requests that the engine runs at the same time.
   uint32_t m_slots = 1;
   /// The number of requests of this host in flight to the engine.
@@ -19,6 +20,8 @@
   /// True if the engine is neither draining nor excluded after failures or
   /// refusals, and its own limit allows another request now.
   bool m_usable = true;
+  /// True if the engine is draining.
+  bool m_isLeaving = false;
   /// The version of the batch's weights that the engine serves.
   core::WeightVersion m_version;
   /// The recently measured time between events of its streams; zero if there is
@@ -36,26 +39,46 @@
 FindSlowEngines(std::span<const EngineSnapshot> aEngines);
 
 /// Returns the engine that the item should run on, or nothing if the item has
-/// to wait. The engine needs a free slot and new enough weights, and must not
-/// be refusing items. A long text gets the fastest engine; other items prefer
-/// the engine that their group used last.
+/// to wait. The engine needs a free slot, new enough weights and, if the item
+/// has a text, the software that generated it, and must not be refusing items.
+/// A long text gets the fastest engine; other items prefer the engine that
+/// their group used last.
 std::optional<size_t>
 ChooseEngine(const BatchRun& aRun,
              size_t aItem,
              std::span<const EngineSnapshot> aEngines);
 
-/// Returns an engine that has refused items and may be probed with one.
-std::optional<size_t>
-FindEngineToProbe(const BatchRun& aRun,
-                  std::span<const EngineSnapshot> aEngines);
+/// An item and the engine that it should start on.
+struct ItemStart
+{
+  size_t m_item = 0;
+  size_t m_engine = 0;
 
-/// Returns the waiting item to probe an engine with: the shortest one, which
-/// loses the least by another refusal, or the longest one if every engine that
-/// could run it refuses.
-std::optional<size_t>
-FindProbeItem(const BatchRun& aRun,
-              std::span<const EngineSnapshot> aEngines,
-              core::Instant aNow);
+  bool operator==(const ItemStart&) const = default;
+};
+
+/// Returns the first item in start order that an engine can run now, if any. An
+/// item whose text only busy engines can continue does not hold up the others.
+std::optional<ItemStart>
+ChooseNextStart(const BatchRun& aRun,
+                std::span<const EngineSnapshot> aEngines,
+                core::Instant aNow);
+
+/// Returns an engine that has refused items and the waiting item to probe it
+/// with: the shortest one, which loses the least by another refusal, or the
+/// longest one if every engine that could run it refuses.
+std::optional<ItemStart>
+FindProbe(const BatchRun& aRun,
+          std::span<const EngineSnapshot> aEngines,
+          core::Instant aNow);
+
+/// Discards the texts of waiting items that no engine will continue: no engine
+/// of their software stays, or none had room for a while. They are generated
+/// from the beginning. Returns their number.
+size_t
+DiscardOrphanedTexts(BatchRun& aRun,
+                     std::span<const EngineSnapshot> aEngines,
+                     core::Instant aNow);
 
 /// Returns the items that run on slow engines and for which other engines have
 /// free slots.
--- a/src/batches/internal/batchjson.cpp
+++ b/src/batches/internal/batchjson.cpp
@@ -118,10 +118,15 @@
 json::value
 ToValue(const PartialText& aText)
 {
-  return { { "item", aText.m_item.m_value },
-           { "text", aText.m_text },
-           { "last_event", aText.m_lastEvent },
-           { "versions", ToValue(aText.m_versions) } };
+  json::object text{ { "item", aText.m_item.m_value },
+                     { "text", aText.m_text },
+                     { "last_event", aText.m_lastEvent },
+                     { "versions", ToValue(aText.m_versions) } };
+  if (aText.m_software) {
+    text["software"] = { { "service", aText.m_software->m_service.m_value },
+                         { "version", aText.m_software->m_version.m_value } };
+  }
+  return text;
 }
 
 PartialText
@@ -133,6 +138,12 @@
   text.m_lastEvent =
     static_cast<uint64_t>(aReader.Integer("last_event", kNonNegative));
   text.m_versions = ParseVersions(aReader);
+  if (const json::value* software = aReader.OptionalValue("software")) {
+    kernel::SettingsReader element(
+      *software, aReader.PathOf("software"), aReader.Errors());
+    text.m_software = { { element.Text("service") },
+                        { element.Text("version") } };
+  }
   return text;
 }
 
--- a/src/batches/internal/poolviews.cpp
+++ b/src/batches/internal/poolviews.cpp
@@ -19,13 +19,15 @@
   const routing::UpstreamStats& stats = *aUpstream.m_stats;
   EngineSnapshot engine;
   engine.m_id = aUpstream.m_id;
+  engine.m_software = aUpstream.m_software;
   engine.m_slots = aUpstream.m_slots;
   engine.m_outstanding = stats.m_outstanding.load();
   const core::Instant ejectedUntil{ core::Duration(
     stats.m_ejectedUntil.load()) };
   const core::Instant avoidedUntil{ core::Duration(stats.m_avoidUntil.load()) };
-  engine.m_usable = !aUpstream.m_leaving && !stats.m_leaving.load() &&
-                    ejectedUntil <= aNow && avoidedUntil <= aNow &&
+  engine.m_isLeaving = aUpstream.m_leaving || stats.m_leaving.load();
+  engine.m_usable = !engine.m_isLeaving && ejectedUntil <= aNow &&
+                    avoidedUntil <= aNow &&
                     stats.m_pacing.NextPermitAt() <= aNow;
   engine.m_isRefusing = stats.m_consecutiveRefusals.load() > 0;
   engine.m_lastEventInterval = core::Duration(stats.m_meanEventGap.load());
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -170,40 +170,63 @@
   const configuration::Route* route =
     FindSubmissionRoute(*document, *run.m_submission);
   for (;;) {
-    const std::optional<size_t> item = FindNextItemToStart(run, kernel::Now());
-    const auto pool = item ? FindPool(route, run) : nullptr;
+    const core::Instant now = kernel::Now();
+    const auto pool =
+      FindNextItemToStart(run, now) ? FindPool(route, run) : nullptr;
     if (!pool) {
       return;
     }
     PoolView& view = aViews.FindOrAdd(pool, run.m_submission->m_weights);
-    const std::optional<size_t> engine =
-      ChooseEngine(run, *item, view.m_engines);
-    if (!engine) {
+    const std::optional<ItemStart> start =
+      ChooseNextStart(run, view.m_engines, now);
+    if (!start && DiscardTexts(aOwned, view)) {
+      continue;
+    }
+    if (!start) {
       if (view.m_hasLimits) {
-        view.m_waitingItems += CountItemsToStart(run, kernel::Now());
+        view.m_waitingItems += CountItemsToStart(run, now);
       }
       ProbeEngine(aOwned, view);
       return;
     }
-    StartItem(aOwned, *item, view, *engine);
+    StartItem(aOwned, *start, view);
   }
 }
 
+bool
+Batches::DiscardTexts(const OwnedPtr& aOwned, const PoolView& aView)
+{
+  const size_t discarded =
+    DiscardOrphanedTexts(aOwned->m_run, aView.m_engines, kernel::Now());
+  if (discarded == 0) {
+    return false;
+  }
+  m_context.Metrics().Get("batches.texts_discarded").Add(discarded);
+  kernel::LogEvent(
+    kernel::LogLevel::Info,
+    "batches",
+    "texts-discarded",
+    { { "batch", aOwned->m_id.m_value },
+      { "texts", discarded },
+      { "reason", "no engine of the software that began them" } });
+  return true;
+}
+
 void
 Batches::ProbeEngine(const OwnedPtr& aOwned, PoolView& aView)
 {
   const BatchRun& run = aOwned->m_run;
-  const std::optional<size_t> engine = FindEngineToProbe(run, aView.m_engines);
-  const std::optional<size_t> item =
-    engine ? FindProbeItem(run, aView.m_engines, kernel::Now()) : std::nullopt;
-  if (!item) {
+  const std::optional<ItemStart> probe =
+    FindProbe(run, aView.m_engines, kernel::Now());
+  if (!probe) {
     return;
   }
   const core::Instant until = kernel::Now() + kProbeInterval;
-  routing::UpstreamStats& stats = *aView.m_pool->m_upstreams[*engine].m_stats;
+  routing::UpstreamStats& stats =
+    *aView.m_pool->m_upstreams[probe->m_engine].m_stats;
   stats.m_avoidUntil.store(until.time_since_epoch().count());
-  StartItem(aOwned, *item, aView, *engine);
-  aView.m_engines[*engine].m_usable = false;
+  StartItem(aOwned, *probe, aView);
+  aView.m_engines[probe->m_engine].m_usable = false;
 }
 
 std::shared_ptr<const routing::Pool>
@@ -258,26 +281,27 @@
 
 void
 Batches::StartItem(const OwnedPtr& aOwned,
-                   size_t aItem,
-                   PoolView& aView,
-                   size_t aEngine)
+                   const ItemStart& aStart,
+                   PoolView& aView)
 {
+  const size_t itemIndex = aStart.m_item;
+  EngineSnapshot& engine = aView.m_engines[aStart.m_engine];
   BatchRun& run = aOwned->m_run;
   const Submission& submission = *run.m_submission;
-  const BatchItem& item = submission.m_items[aItem];
+  const BatchItem& item = submission.m_items[itemIndex];
   ItemRunTask task;
   task.m_request = MakeRequest(submission, item);
   task.m_batchId = submission.m_id.m_value;
   task.m_itemId = item.m_id.m_value;
-  task.m_reservation =
-    std::make_shared<routing::UpstreamReservation>(aView.m_pool, aEngine);
-  aView.m_engines[aEngine].m_outstanding += 1;
+  task.m_reservation = std::make_shared<routing::UpstreamReservation>(
+    aView.m_pool, aStart.m_engine);
+  engine.m_outstanding += 1;
   aView.m_pool->m_demand->m_calls.fetch_add(1);
   if (task.m_reservation->Chosen().m_stats->m_pacing.NextPermitAt() >
       kernel::Now()) {
-    aView.m_engines[aEngine].m_usable = false;
+    engine.m_usable = false;
   }
-  task.m_resumeAfter = run.m_items[aItem].m_eventCount;
+  task.m_resumeAfter = run.m_items[itemIndex].m_eventCount;
   task.m_oldestAllowedVersion = submission.m_oldestAllowedVersion;
   task.m_expectedTokens = item.m_expectedTokens;
   task.m_startedAt = kernel::Now();
@@ -285,32 +309,33 @@
   task.m_abort = std::make_shared<http::CallAbort>();
   task.m_limits = m_context.Get<limits::UpstreamLimits>();
   const uint64_t runNumber =
-    StartItemRun(run, aItem, aView.m_engines[aEngine].m_id);
+    StartItemRun(run, itemIndex, { engine.m_id, engine.m_software });
   const size_t loop = m_context.Traffic().NextIndex();
-  aOwned->m_activeRequests[aItem] = { loop, task.m_abort };
+  aOwned->m_activeRequests[itemIndex] = { loop, task.m_abort };
   m_context.Metrics().Get("batches.runs").Add();
   const core::Instant startedAt = task.m_startedAt;
-  task.m_onProgress =
-    [self = shared_from_this(), aOwned, aItem, runNumber](RunReport aPart) {
-      auto part = std::make_shared<RunReport>(std::move(aPart));
-      self->m_context.Control().Post([self, aOwned, aItem, runNumber, part] {
-        AddPartialText(aOwned->m_run, aItem, runNumber, *part);
-        self->StoreCheckpoint(aOwned);
-      });
-    };
-  auto done = [self = shared_from_this(), aOwned, aItem, runNumber, startedAt](
-                RunReport aReport) {
-    self->m_context.Metrics()
-      .Latency("batches.run")
-      .Add(kernel::Now() - startedAt);
-    if (!self->IsOwned(aOwned)) {
-      return;
-    }
-    aOwned->m_activeRequests.erase(aItem);
-    FinishItemRun(
-      aOwned->m_run, aItem, runNumber, std::move(aReport), kernel::Now());
-    self->RunDueWork();
+  task.m_onProgress = [self = shared_from_this(), aOwned, itemIndex, runNumber](
+                        RunReport aPart) {
+    auto part = std::make_shared<RunReport>(std::move(aPart));
+    self->m_context.Control().Post([self, aOwned, itemIndex, runNumber, part] {
+      AddPartialText(aOwned->m_run, itemIndex, runNumber, *part);
+      self->StoreCheckpoint(aOwned);
+    });
   };
+  auto done =
+    [self = shared_from_this(), aOwned, itemIndex, runNumber, startedAt](
+      RunReport aReport) {
+      self->m_context.Metrics()
+        .Latency("batches.run")
+        .Add(kernel::Now() - startedAt);
+      if (!self->IsOwned(aOwned)) {
+        return;
+      }
+      aOwned->m_activeRequests.erase(itemIndex);
+      FinishItemRun(
+        aOwned->m_run, itemIndex, runNumber, std::move(aReport), kernel::Now());
+      self->RunDueWork();
+    };
   asio::co_spawn(m_context.Traffic().Loop(loop),
                  RunItemAndReport(m_context.Get<http::Clients>()->ForLoop(loop),
                                   m_context,
--- a/src/batches/tests/batchjsontest.cpp
+++ b/src/batches/tests/batchjsontest.cpp
@@ -37,10 +37,15 @@
   CHECK(ToJson(*chunkBack) == ToJson(chunk));
 
   Checkpoint checkpoint;
-  checkpoint.m_texts.push_back({ { "i" }, "a\nb\"", 7, { { 2 }, { 3 } } });
+  checkpoint.m_texts.push_back({ { "i" },
+                                 "a\nb\"",
+                                 7,
+                                 { { 2 }, { 3 } },
+                                 core::Software{ { "s" }, { "v1" } } });
   const auto resumed = ParseCheckpoint(ToJson(checkpoint));
   REQUIRE(resumed.ok());
   CHECK(resumed->m_texts[0].m_lastEvent == 7);
+  CHECK(resumed->m_texts[0].m_software == checkpoint.m_texts[0].m_software);
   CHECK(ToJson(*resumed) == ToJson(checkpoint));
 
   Placement placement{ { "b" }, "host", true, 5, 0 };
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -59,7 +59,7 @@
 {
   const std::optional<size_t> item = FindNextItemToStart(aRun, aNow);
   REQUIRE(item);
-  const uint64_t number = StartItemRun(aRun, *item, { "e0" });
+  const uint64_t number = StartItemRun(aRun, *item, { { "e0" }, {} });
   FinishItemRun(aRun, *item, number, std::move(aReport), aNow);
   return *item;
 }
@@ -75,7 +75,7 @@
 TEST_CASE("the next owner resumes the texts of a checkpoint")
 {
   BatchRun run = MakeTestRun(2);
-  const uint64_t number = StartItemRun(run, 1, { "e0" });
+  const uint64_t number = StartItemRun(run, 1, { { "e0" }, {} });
   AddPartialText(run, 1, number, MakeReport(RunInterrupted{}, "a\nb", 30));
   const std::optional<Checkpoint> checkpoint =
     StartNextCheckpoint(run, At(1000));
@@ -97,10 +97,34 @@
         std::vector<core::WeightVersion>{ { 5 }, { 6 } });
 }
 
+// Guards against a new owner that joins texts of two software versions (ORDER).
+TEST_CASE("a checkpoint tells the next owner which software began a text")
+{
+  const core::Software software{ { "s" }, { "v1" } };
+  BatchRun run = MakeTestRun(1);
+  const uint64_t number = StartItemRun(run, 0, { { "e0" }, software });
+  AddPartialText(run, 0, number, MakeReport(RunInterrupted{}, "a", 30));
+  std::optional<Checkpoint> checkpoint = StartNextCheckpoint(run, At(1000));
+  REQUIRE(checkpoint);
+  SECTION("the text is bound to it")
+  {
+    BatchRun next = MakeTestRun(1);
+    CHECK(AdoptCheckpoint(next, *checkpoint) == 1);
+    CHECK(next.m_items[0].m_software == software);
+  }
+  SECTION("a text without a record of it is generated from the beginning")
+  {
+    checkpoint->m_texts[0].m_software.reset();
+    BatchRun next = MakeTestRun(1);
+    CHECK(AdoptCheckpoint(next, *checkpoint) == 0);
+    CHECK(next.m_items[0].m_eventCount == 0);
+  }
+}
+
 TEST_CASE("a checkpoint that could not be stored is retried after the interval")
 {
   BatchRun run = MakeTestRun(1);
-  const uint64_t number = StartItemRun(run, 0, { "e0" });
+  const uint64_t number = StartItemRun(run, 0, { { "e0" }, {} });
   AddPartialText(run, 0, number, MakeReport(RunInterrupted{}, "a", 30));
   const auto checkpoint = StartNextCheckpoint(run, At(0));
   REQUIRE(checkpoint);
@@ -129,7 +153,7 @@
 TEST_CASE("progress of a run that is not the current one is ignored")
 {
   BatchRun run = MakeTestRun(1);
-  const uint64_t number = StartItemRun(run, 0, { "e0" });
+  const uint64_t number = StartItemRun(run, 0, { { "e0" }, {} });
   AddPartialText(run, 0, number + 1, MakeReport(RunInterrupted{}, "a", 30));
   CHECK(run.m_items[0].m_eventCount == 0);
 }
@@ -141,7 +165,7 @@
   const std::vector<size_t> order{ 3, 2 };
   for (const size_t expected : order) {
     CHECK(FindNextItemToStart(run, At(0)) == expected);
-    StartItemRun(run, expected, { "e0" });
+    StartItemRun(run, expected, { { "e0" }, {} });
   }
   CHECK(FindNextItemToStart(run, At(39)) == std::nullopt);
   CHECK(FindNextDeadline(run, At(0)) == At(40));
@@ -283,9 +307,9 @@
 TEST_CASE("the report of a run that is not the current one is ignored")
 {
   BatchRun run = MakeTestRun(1);
-  const uint64_t first = StartItemRun(run, 0, { "e0" });
+  const uint64_t first = StartItemRun(run, 0, { { "e0" }, {} });
   FinishItemRun(run, 0, first, { RunRefused{}, "", 0, {} }, At(0));
-  const uint64_t second = StartItemRun(run, 0, { "e1" });
+  const uint64_t second = StartItemRun(run, 0, { { "e1" }, {} });
   FinishItemRun(run, 0, first, MakeReport(RunCompleted{}, "late", 1), At(10));
   CHECK(run.m_pendingResults.empty());
   FinishItemRun(run, 0, second, MakeReport(RunCompleted{}, "a", 1), At(20));
--- a/src/batches/tests/enginestest.cpp
+++ b/src/batches/tests/enginestest.cpp
@@ -89,7 +89,7 @@
   BatchRun run = MakeTwoGroupRun();
   const std::vector<EngineSnapshot> engines{ MakeEngine("x", 6),
                                              MakeEngine("y", 0) };
-  const uint64_t number = StartItemRun(run, 0, { "x" });
+  const uint64_t number = StartItemRun(run, 0, { { "x" }, {} });
   CHECK(ChooseEngine(run, 1, engines) == 0);
   CHECK(ChooseEngine(run, 2, engines) == 1);
   FinishItemRun(
@@ -128,22 +128,21 @@
   }
   const BatchRun run = MakeBatchRun(std::move(submission), {});
   std::vector<EngineSnapshot> engines{ MakeEngine("x", 0), MakeEngine("y", 8) };
-  CHECK(FindEngineToProbe(run, engines) == std::nullopt);
+  CHECK(FindProbe(run, engines, core::Instant{}) == std::nullopt);
   engines[0].m_isRefusing = true;
   CHECK(ChooseEngine(run, 1, engines) == std::nullopt);
-  CHECK(FindEngineToProbe(run, engines) == 0);
-  CHECK(FindProbeItem(run, engines, core::Instant{}) == 0);
+  CHECK(FindProbe(run, engines, core::Instant{}) == ItemStart{ 0, 0 });
   // If every engine refuses, sparing the longest item gains nothing, because no
   // other engine accepts it.
   engines[1].m_isRefusing = true;
-  CHECK(FindProbeItem(run, engines, core::Instant{}) == 1);
+  CHECK(FindProbe(run, engines, core::Instant{}) == ItemStart{ 1, 0 });
 }
 
 TEST_CASE("items move off a slow engine only while others have free slots")
 {
   BatchRun run = MakeTwoGroupRun();
-  StartItemRun(run, 0, { "x" });
-  StartItemRun(run, 1, { "y" });
+  StartItemRun(run, 0, { { "x" }, {} });
+  StartItemRun(run, 1, { { "y" }, {} });
   std::vector<EngineSnapshot> engines{ MakeEngine("x", 1, 100),
                                        MakeEngine("y", 1, 33),
                                        MakeEngine("z", 0, 30) };
@@ -161,4 +160,85 @@
   CHECK(FindSlowEngines(engines) == std::vector<bool>{ false, false, false });
 }
 
+// Guards against texts that hold events of two software versions (ORDER).
+TEST_CASE("a text goes on only at an engine of the software that began it")
+{
+  BatchRun run = MakeTwoGroupRun();
+  std::vector<EngineSnapshot> engines{ MakeEngine("old", 7),
+                                       MakeEngine("new", 0),
+                                       MakeEngine("old2", 8) };
+  engines[0].m_software.m_version = { "v1" };
+  engines[1].m_software.m_version = { "v2" };
+  engines[2].m_software.m_version = { "v1" };
+  const uint64_t number =
+    StartItemRun(run, 0, { { "old2" }, engines[2].m_software });
+  FinishItemRun(
+    run, 0, number, { RunInterrupted{}, "a", 1, { { 3 } } }, core::Instant{});
+  const core::Instant now(milliseconds(100));
+
+  SECTION("an engine of its software with a free slot continues it")
+  {
+    CHECK(ChooseEngine(run, 0, engines) == 0);
+  }
+  SECTION("while all of them are full, it waits without holding others up")
+  {
+    engines[0].m_outstanding = 8;
+    CHECK(ChooseEngine(run, 0, engines) == std::nullopt);
+    CHECK(ChooseNextStart(run, engines, now) == ItemStart{ 1, 1 });
+    CHECK(DiscardOrphanedTexts(run, engines, now) == 0);
+  }
+  SECTION("it begins again once it has waited for a second")
+  {
+    engines[0].m_outstanding = 8;
+    CHECK(DiscardOrphanedTexts(run, engines, now) == 0);
+    CHECK(DiscardOrphanedTexts(run, engines, now + milliseconds(999)) == 0);
+    CHECK(DiscardOrphanedTexts(run, engines, now + milliseconds(1000)) == 1);
+    CHECK(run.m_items[0].m_text.empty());
+    CHECK(ChooseEngine(run, 0, engines) == 1);
+  }
+  SECTION("it begins again at once if no engine of its software stays")
+  {
+    engines[0].m_isLeaving = true;
+    engines[2].m_isLeaving = true;
+    CHECK(DiscardOrphanedTexts(run, engines, now) == 1);
+    CHECK(run.m_items[0].m_eventCount == 0);
+  }
+  SECTION("engines that refuse are probed with what they can continue")
+  {
+    run.m_items[1].m_phase = ItemDone{};
+    run.m_items[2].m_phase = ItemDone{};
+    run.m_items[3].m_phase = ItemDone{};
+    engines[0].m_isRefusing = true;
+    engines[1].m_isRefusing = true;
+    CHECK(FindProbe(run, engines, now) == ItemStart{ 0, 0 });
+  }
+}
+
+TEST_CASE("a text does not move off a slow engine to other software")
+{
+  BatchRun run = MakeTwoGroupRun();
+  std::vector<EngineSnapshot> engines{ MakeEngine("x", 1, 100),
+                                       MakeEngine("y", 1, 33),
+                                       MakeEngine("z", 0, 30) };
+  engines[0].m_software.m_version = { "v1" };
+  StartItemRun(run, 0, { { "x" }, engines[0].m_software });
+  CHECK(FindItemsToMove(run, engines).empty());
+  engines[2].m_software.m_version = { "v1" };
+  CHECK(FindItemsToMove(run, engines) == std::vector<size_t>{ 0 });
+}
+
+TEST_CASE(
+  "a text of a route that alternates between services waits for its own")
+{
+  BatchRun run = MakeTwoGroupRun();
+  std::vector<EngineSnapshot> engines{ MakeEngine("x", 0) };
+  engines[0].m_software = { { "other" }, { "v1" } };
+  const uint64_t number =
+    StartItemRun(run, 0, { { "y" }, { { "own" }, { "v1" } } });
+  FinishItemRun(
+    run, 0, number, { RunInterrupted{}, "a", 1, { { 3 } } }, core::Instant{});
+  CHECK(DiscardOrphanedTexts(run, engines, core::Instant{}) == 0);
+  CHECK(ChooseEngine(run, 0, engines) == std::nullopt);
+}
+
 } // namespace heatherdeal::batches
--- a/src/batches/tests/ownerstest.cpp
+++ b/src/batches/tests/ownerstest.cpp
@@ -149,7 +149,7 @@
     if (!item) {
       return;
     }
-    const uint64_t number = StartItemRun(aOwner, *item, { "e" });
+    const uint64_t number = StartItemRun(aOwner, *item, { { "e" }, {} });
     // Each run generates a unique text, so that a mix-up is detected.
     const std::string text = "run " + std::to_string(m_runCount++);
     FinishItemRun(
