Resume a sample only at the software that generated its tokens

An engine's report to a shard now names its software, and a sample with tokens needs an engine of the same; it starts again when no such engine stays, and holds no other sample up meanwhile.

--- a/src/rollout/decisions/engines.cpp
+++ b/src/rollout/decisions/engines.cpp
@@ -21,6 +21,13 @@
          HasFreshEnoughWeights(aState, aEngine);
 }
 
+bool
+CanContinueSample(const SampleProgress& aSample, const EngineState& aEngine)
+{
+  return aSample.m_tokens == 0 ||
+         aSample.m_software == aEngine.m_report.m_software;
+}
+
 bool
 IsPreferredEngine(const EngineState& aLeft, const EngineState& aRight)
 {
@@ -44,6 +51,7 @@
 
 EngineState*
 ChooseEngine(ShardState& aState,
+             const SampleProgress& aSample,
              RequiredWeights aRequiredWeights,
              core::Instant aNow)
 {
@@ -56,6 +64,7 @@
   EngineState* bestEngine = nullptr;
   for (auto& [id, engine] : aState.m_engines) {
     if (CanAcceptStream(aState, engine, aNow) &&
+        CanContinueSample(aSample, engine) &&
         engine.m_report.m_version >= minVersion &&
         (bestEngine == nullptr || IsPreferredEngine(engine, *bestEngine))) {
       bestEngine = &engine;
@@ -64,6 +73,15 @@
   return bestEngine;
 }
 
+bool
+IsSoftwareServed(const ShardState& aState, const SampleProgress& aSample)
+{
+  return std::ranges::any_of(aState.m_engines, [&](const auto& aEngine) {
+    return !aEngine.second.m_report.m_leaving &&
+           CanContinueSample(aSample, aEngine.second);
+  });
+}
+
 void
 BackOffFromEngine(ShardState& aState, EngineState& aEngine, core::Instant aNow)
 {
--- a/src/rollout/decisions/engines.h
+++ b/src/rollout/decisions/engines.h
@@ -18,13 +18,20 @@
   WithinBound,
 };
 
-/// Returns the engine on which to start or resume a stream, or null if no
-/// engine can accept one. Prefers the newest weights, then the lowest load.
+/// Returns the engine on which to start or resume the sample, or null if no
+/// engine can accept it: one that has tokens needs an engine of the software
+/// that generated them. Prefers the newest weights, then the lowest load.
 EngineState*
 ChooseEngine(ShardState& aState,
+             const SampleProgress& aSample,
              RequiredWeights aRequiredWeights,
              core::Instant aNow);
 
+/// True if an engine that stays runs the software that generated the tokens of
+/// the sample.
+bool
+IsSoftwareServed(const ShardState& aState, const SampleProgress& aSample);
+
 /// Counts a failure of the engine and backs off from it exponentially.
 void
 BackOffFromEngine(ShardState& aState, EngineState& aEngine, core::Instant aNow);
--- a/src/rollout/decisions/stragglers.cpp
+++ b/src/rollout/decisions/stragglers.cpp
@@ -49,11 +49,9 @@
   for (uint32_t member = 0; member < aGroup.m_samples.size(); ++member) {
     SampleProgress& sample = aGroup.m_samples[member];
     const EngineState* target =
-      ChooseEngine(aState, RequiredWeights::WithinBound, aNow);
-    if (target == nullptr) {
-      return;
-    }
-    if (ShouldMigrateSample(aState, sample, *target, aLoadGapPercent)) {
+      ChooseEngine(aState, sample, RequiredWeights::WithinBound, aNow);
+    if (target != nullptr &&
+        ShouldMigrateSample(aState, sample, *target, aLoadGapPercent)) {
       CancelSampleStream(aState, { aOrdinal, member }, sample, aEffects);
       sample.m_migrated = true;
       sample.m_urgent = true;
--- a/src/rollout/decisions/streams.cpp
+++ b/src/rollout/decisions/streams.cpp
@@ -68,6 +68,7 @@
   aSample.m_stage = SampleStage::Running;
   aSample.m_attempt += 1;
   aSample.m_engine = aEngine.m_report.m_engine;
+  aSample.m_software = aEngine.m_report.m_software;
   aSample.m_progressDeadline = aNow + aState.m_policy.m_progressTimeout;
   aEngine.m_runningStreams += 1;
   if (aSample.m_tokens > 0) {
@@ -81,8 +82,7 @@
                                   aSample.m_urgent });
 }
 
-/// Starts or resumes the sample. Returns false if no engine can accept a
-/// stream.
+/// Starts or resumes the sample. Returns false if no engine can accept it.
 bool
 TryStartSample(ShardState& aState,
                const core::SampleId& aId,
@@ -93,7 +93,7 @@
   const RequiredWeights requiredWeights = aSample.m_tokens > 0
                                             ? RequiredWeights::WithinBound
                                             : RequiredWeights::Newest;
-  EngineState* engine = ChooseEngine(aState, requiredWeights, aNow);
+  EngineState* engine = ChooseEngine(aState, aSample, requiredWeights, aNow);
   if (engine == nullptr) {
     return false;
   }
@@ -268,18 +268,22 @@
 void
 StartQueuedSamples(ShardState& aState, core::Instant aNow, Effects& aEffects)
 {
-  bool hasFreeSlot = true;
-  for (const bool hasTokens : { true, false }) {
-    ForEachGeneratingSample(
-      aState, [&](const core::SampleId& aId, SampleProgress& aSample) {
-        const bool shouldStart = aSample.m_stage == SampleStage::Queued &&
-                                 (aSample.m_tokens > 0) == hasTokens;
-        if (shouldStart) {
-          hasFreeSlot = TryStartSample(aState, aId, aSample, aNow, aEffects);
-        }
-        return hasFreeSlot;
-      });
-  }
+  // A sample that waits for an engine of its software holds up no other one.
+  ForEachGeneratingSample(
+    aState, [&](const core::SampleId& aId, SampleProgress& aSample) {
+      if (aSample.m_stage == SampleStage::Queued && aSample.m_tokens > 0 &&
+          !TryStartSample(aState, aId, aSample, aNow, aEffects) &&
+          !aState.m_engines.empty() && !IsSoftwareServed(aState, aSample)) {
+        RestartSample(aState, aId, aSample, aEffects);
+      }
+      return true;
+    });
+  ForEachGeneratingSample(
+    aState, [&](const core::SampleId& aId, SampleProgress& aSample) {
+      const bool isNew =
+        aSample.m_stage == SampleStage::Queued && aSample.m_tokens == 0;
+      return !isNew || TryStartSample(aState, aId, aSample, aNow, aEffects);
+    });
 }
 
 } // namespace heatherdeal::rollout
--- a/src/rollout/internal/shardmanager.cpp
+++ b/src/rollout/internal/shardmanager.cpp
@@ -228,7 +228,8 @@
     engines.push_back({ id,
                         ComputeSlotsPerShard(job, host),
                         status->second.m_version,
-                        host.m_leaving || status->second.m_leaving });
+                        host.m_leaving || status->second.m_leaving,
+                        { job.m_service, host.m_softwareVersion } });
     endpoints[id] = host.m_endpoint;
   }
   aOwner.SetScorers(std::move(scorers));
--- a/src/rollout/shard.h
+++ b/src/rollout/shard.h
@@ -31,6 +31,9 @@
   /// Identifies the current stream among all streams of the sample.
   uint32_t m_attempt = 0;
   core::UpstreamId m_engine;
+  /// The software that generated the tokens. Only engines that run it can
+  /// resume the sample.
+  core::Software m_software;
   /// Number of tokens received so far.
   uint32_t m_tokens = 0;
   /// The weights that each range of tokens was generated with.
@@ -77,6 +80,7 @@
   core::WeightVersion m_version;
   /// True if the engine is shutting down and must get no new streams.
   bool m_leaving = false;
+  core::Software m_software;
 };
 
 /// Holds what the shard knows of an engine.
--- a/src/virtualworld/fakeengine.cpp
+++ b/src/virtualworld/fakeengine.cpp
@@ -6,10 +6,12 @@
 
 FakeEngine::FakeEngine(EventQueue& aQueue,
                        const SimulationSettings& aSettings,
-                       core::UpstreamId aId)
+                       core::UpstreamId aId,
+                       core::SoftwareVersion aSoftware)
   : m_queue(aQueue)
   , m_settings(aSettings)
   , m_id(std::move(aId))
+  , m_software(std::move(aSoftware))
 {
 }
 
@@ -74,7 +76,7 @@
   Chunk chunk;
   chunk.m_offset = stream.m_offset;
   chunk.m_tokens = std::min(remainingTokens, m_settings.m_chunkTokens);
-  chunk.m_actualVersion = m_version.m_number;
+  chunk.m_origin = { m_version.m_number, m_software };
   if (m_chunksWithoutVersion > 0) {
     m_chunksWithoutVersion -= 1;
   } else {
--- a/src/virtualworld/fakeengine.h
+++ b/src/virtualworld/fakeengine.h
@@ -9,6 +9,7 @@
 #include "core/ids.h"
 #include "core/weightversion.h"
 #include "virtualworld/eventqueue.h"
+#include "virtualworld/payload.h"
 #include "virtualworld/simulationsettings.h"
 
 namespace heatherdeal::virtualworld {
@@ -18,8 +19,7 @@
 {
   uint32_t m_offset = 0;
   uint32_t m_tokens = 0;
-  /// The version that generated the tokens.
-  uint64_t m_actualVersion = 0;
+  TokenOrigin m_origin;
   /// The version that the engine reports for the tokens, if any.
   std::optional<core::WeightVersion> m_reportedVersion;
 };
@@ -41,7 +41,8 @@
 public:
   FakeEngine(EventQueue& aQueue,
              const SimulationSettings& aSettings,
-             core::UpstreamId aId);
+             core::UpstreamId aId,
+             core::SoftwareVersion aSoftware);
 
   /// Starts a stream of the tokens [aFirstToken, aEndToken).
   void OpenStream(StreamKey aKey,
@@ -73,6 +74,7 @@
   void SetFencingCheck(bool aEnabled) { m_fencingCheckEnabled = aEnabled; }
 
   const core::UpstreamId& Id() const { return m_id; }
+  const core::SoftwareVersion& Software() const { return m_software; }
   bool IsAlive() const { return m_alive; }
   core::WeightVersion Version() const { return m_version; }
   uint64_t GeneratedTokens() const { return m_generatedTokens; }
@@ -92,6 +94,7 @@
   EventQueue& m_queue;
   const SimulationSettings& m_settings;
   core::UpstreamId m_id;
+  core::SoftwareVersion m_software;
   bool m_alive = true;
   bool m_silent = false;
   bool m_fencingCheckEnabled = true;
--- a/src/virtualworld/payload.h
+++ b/src/virtualworld/payload.h
@@ -10,16 +10,22 @@
 
 namespace heatherdeal::virtualworld {
 
-/// The weight version that generated each token of a sample. It stands for the
-/// text of the sample.
-using TokenVersions = std::vector<uint64_t>;
+/// What generated one token.
+struct TokenOrigin
+{
+  uint64_t m_weights = 0;
+  core::SoftwareVersion m_software;
+};
+
+/// The origin of each token of a sample. It stands for the text of the sample.
+using TokenOrigins = std::vector<TokenOrigin>;
 
 /// A sample as the trainer receives it: the versions that the service reports
-/// and the versions that generated its tokens.
+/// and what generated its tokens.
 struct PayloadSample
 {
   std::vector<core::VersionSpan> m_spans;
-  TokenVersions m_actualVersions;
+  TokenOrigins m_origins;
 };
 
 /// A batch as the trainer receives it.
--- a/src/virtualworld/simulation.cpp
+++ b/src/virtualworld/simulation.cpp
@@ -58,7 +58,9 @@
   m_rollingUpdate.m_policy = m_settings.m_rollingUpdatePolicy;
   for (size_t i = 0; i < m_settings.m_engines; ++i) {
     const core::UpstreamId id{ EngineName(i) };
-    m_engines.emplace(id, FakeEngine(m_queue, m_settings, id));
+    const core::SoftwareVersion software{ std::to_string(
+      i % m_settings.m_softwareVersions) };
+    m_engines.emplace(id, FakeEngine(m_queue, m_settings, id, software));
   }
   for (size_t i = 0; i < m_settings.m_hosts; ++i) {
     m_hosts.push_back(
@@ -235,8 +237,11 @@
   std::vector<rollout::EngineReport> reports;
   for (const auto& [id, engine] : m_engines) {
     if (engine.IsAlive()) {
-      reports.push_back(
-        { id, m_settings.m_slotsPerEngine, engine.Version(), false });
+      reports.push_back({ id,
+                          m_settings.m_slotsPerEngine,
+                          engine.Version(),
+                          false,
+                          { {}, engine.Software() } });
     }
   }
   for (const auto& host : m_hosts) {
--- a/src/virtualworld/simulationsettings.h
+++ b/src/virtualworld/simulationsettings.h
@@ -26,6 +26,8 @@
   uint64_t m_seed = 1;
   uint32_t m_engines = 3;
   uint32_t m_slotsPerEngine = 16;
+  /// The engines run this many software versions, in turn.
+  uint32_t m_softwareVersions = 1;
   /// Tokens per second of a stream that is alone on its engine.
   double m_tokensPerSecond = 100.0;
   /// Number of streams on an engine at which each has half that speed.
--- a/src/virtualworld/virtualhost.cpp
+++ b/src/virtualworld/virtualhost.cpp
@@ -69,7 +69,7 @@
     AddTotals(m_earlierTotals, m_shard->m_totals);
   }
   m_shard.reset();
-  m_actualVersions.clear();
+  m_tokenOrigins.clear();
   m_streams.clear();
 }
 
@@ -215,7 +215,7 @@
   AddTotals(m_earlierTotals, m_shard->m_totals);
   m_shard.reset();
   m_ownershipNumber += 1;
-  m_actualVersions.clear();
+  m_tokenOrigins.clear();
   m_streams.clear();
 }
 
@@ -309,8 +309,8 @@
   const bool isAccepted =
     m_shard && isExpected && heldTokens() == aChunk.m_offset + aChunk.m_tokens;
   if (isAccepted) {
-    TokenVersions& versions = m_actualVersions[aStream.m_sample];
-    versions.insert(versions.end(), aChunk.m_tokens, aChunk.m_actualVersion);
+    TokenOrigins& origins = m_tokenOrigins[aStream.m_sample];
+    origins.insert(origins.end(), aChunk.m_tokens, aChunk.m_origin);
   }
 }
 
@@ -368,7 +368,7 @@
 void
 VirtualHost::PerformEffect(const rollout::DropSample& aEffect)
 {
-  m_actualVersions.erase(aEffect.m_sample);
+  m_tokenOrigins.erase(aEffect.m_sample);
 }
 
 void
@@ -399,7 +399,7 @@
 void
 VirtualHost::PerformEffect(const rollout::DropGroup& aEffect)
 {
-  std::erase_if(m_actualVersions, [&](const auto& aEntry) {
+  std::erase_if(m_tokenOrigins, [&](const auto& aEntry) {
     return aEntry.first.m_group == aEffect.m_group;
   });
   std::erase_if(m_streams, [&](const auto& aEntry) {
@@ -417,7 +417,7 @@
     for (uint32_t member = 0; member < group.m_samples.size(); ++member) {
       const core::SampleId id{ head.m_ordinal, member };
       batch.m_samples[id] = { group.m_samples[member].m_spans,
-                              m_actualVersions[id] };
+                              m_tokenOrigins[id] };
     }
   }
   m_environment.m_sendBatch(aEffect.m_pullId, std::move(batch));
--- a/src/virtualworld/virtualhost.h
+++ b/src/virtualworld/virtualhost.h
@@ -123,7 +123,7 @@
   uint64_t m_lastShardTimer = 0;
   std::vector<rollout::EngineReport> m_engineReports;
   core::WeightVersion m_newestVersion;
-  std::map<core::SampleId, TokenVersions> m_actualVersions;
+  std::map<core::SampleId, TokenOrigins> m_tokenOrigins;
   /// Streams by sample and attempt.
   std::map<std::pair<core::SampleId, uint32_t>, RunningStream> m_streams;
 };
--- a/src/virtualworld/virtualtrainer.cpp
+++ b/src/virtualworld/virtualtrainer.cpp
@@ -139,19 +139,25 @@
   }
   uint64_t oldestVersion = m_cursor.m_publishedVersion.m_number;
   size_t token = 0;
-  bool versionsMatch = !aSample.m_actualVersions.empty();
+  bool versionsMatch = !aSample.m_origins.empty();
   for (const core::VersionSpan& span : aSample.m_spans) {
     oldestVersion = std::min(oldestVersion, span.m_version.m_number);
     for (uint32_t i = span.m_begin; i < span.m_end; ++i, ++token) {
       versionsMatch =
-        versionsMatch && token == i &&
-        token < aSample.m_actualVersions.size() &&
-        aSample.m_actualVersions[token] == span.m_version.m_number;
+        versionsMatch && token == i && token < aSample.m_origins.size() &&
+        aSample.m_origins[token].m_weights == span.m_version.m_number;
     }
   }
-  if (!versionsMatch || token != aSample.m_actualVersions.size()) {
+  if (!versionsMatch || token != aSample.m_origins.size()) {
     AddViolation(aId, "names a wrong version");
   }
+  const bool isJoined =
+    std::ranges::any_of(aSample.m_origins, [&](const TokenOrigin& aOrigin) {
+      return aOrigin.m_software != aSample.m_origins.front().m_software;
+    });
+  if (isJoined) {
+    AddViolation(aId, "is joined from two software versions");
+  }
   const uint64_t staleness =
     m_cursor.m_publishedVersion.m_number - oldestVersion;
   m_record.m_staleness.push_back(staleness);
