Go on with a caller's token stream only at the software that began it

Once the response has begun, engines of other software count as tried. Where no other engine is left, the response is cut off without an end chunk, as before.

callstest.cpp, failed before: events of v1 were followed by events of v2.

--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -281,7 +281,8 @@
                          (*response)->Head().m_status,
                          core::Executed::Unknown });
   }
-  const absl::Status relayStatus = co_await RelayResponse(**response);
+  const absl::Status relayStatus =
+    co_await RelayResponse(**response, reservation->Chosen());
   if (relayStatus.ok()) {
     RecordSuccess(*reservation);
   } else if (!m_isCallerDisconnected) {
@@ -291,10 +292,11 @@
 }
 
 asio::awaitable<absl::Status>
-Call::RelayResponse(http::ResponseStream& aUpstreamResponse)
+Call::RelayResponse(http::ResponseStream& aUpstreamResponse,
+                    const routing::Upstream& aUpstream)
 {
   if (IsResumable(aUpstreamResponse.Head())) {
-    return RelayTokenStream(aUpstreamResponse);
+    return RelayTokenStream(aUpstreamResponse, aUpstream);
   }
   const std::string_view contentLength =
     http::FindHeader(aUpstreamResponse.Head().m_headers, "Content-Length");
@@ -321,12 +323,15 @@
 }
 
 asio::awaitable<absl::Status>
-Call::RelayTokenStream(http::ResponseStream& aUpstreamResponse)
+Call::RelayTokenStream(http::ResponseStream& aUpstreamResponse,
+                       const routing::Upstream& aUpstream)
 {
   absl::Status sent = absl::OkStatus();
   if (!m_exchange.HasResponseStarted()) {
     http::ResponseHead head;
     head.m_headers = EndToEndHeaders(aUpstreamResponse.Head().m_headers);
+    // From here on, only the same software can go on with the stream.
+    routing::AddOtherSoftware(*m_pool, aUpstream.m_software, m_triedUpstreams);
     sent = co_await m_exchange.StartStream(std::move(head));
   }
   while (sent.ok() && !m_tokenStream.HasEnded()) {
--- a/src/forwarding/internal/call.h
+++ b/src/forwarding/internal/call.h
@@ -30,7 +30,8 @@
   /// Relays the response of an upstream to the caller: as a resumable token
   /// stream, buffered if it is small and its size is known, or streaming.
   boost::asio::awaitable<absl::Status> RelayResponse(
-    http::ResponseStream& aUpstreamResponse);
+    http::ResponseStream& aUpstreamResponse,
+    const routing::Upstream& aUpstream);
   /// Reads the whole response before it sends the first byte.
   boost::asio::awaitable<absl::Status> RelayBuffered(
     http::ResponseStream& aUpstreamResponse);
@@ -45,7 +46,8 @@
   /// Sends complete lines of a token stream as they arrive. After a failure
   /// another engine can resume the stream.
   boost::asio::awaitable<absl::Status> RelayTokenStream(
-    http::ResponseStream& aUpstreamResponse);
+    http::ResponseStream& aUpstreamResponse,
+    const routing::Upstream& aUpstream);
   /// Returns true if the response is a token stream that another engine can
   /// resume.
   bool IsResumable(const http::ResponseHead& aHead) const;
--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -90,7 +90,8 @@
 
   void SetUpstreams(std::span<const core::Endpoint> aUpstreams,
                     bool aLeaving = false,
-                    std::string_view aService = "desk")
+                    std::string_view aService = "desk",
+                    std::span<const std::string> aSoftware = {})
   {
     std::vector<objectstore::HostEntry> hosts;
     for (const core::Endpoint& upstream : aUpstreams) {
@@ -101,6 +102,9 @@
       host.m_failureDomain.m_value = "d0";
       host.m_slots = 8;
       host.m_leaving = aLeaving;
+      if (hosts.size() < aSoftware.size()) {
+        host.m_softwareVersion.m_value = aSoftware[hosts.size()];
+      }
       hosts.push_back(host);
     }
     m_router->SetHosts(hosts);
@@ -325,6 +329,38 @@
   CHECK(begunStreams > 0);
 }
 
+// Guards against a stream that goes on at an engine of another software version
+// (ORDER).
+TEST_CASE("a token stream is resumed only at the software that began it")
+{
+  const ObjectApiHost objectApi;
+  EntryHost entry(objectApi);
+  const http::RawServer breaking(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1b\r\n{\"tokens\":2,\"text\":\"a b \"}\n\r\n");
+  const http::RawServer other(
+    "HTTP/1.1 200 OK\r\nContent-Length: 49\r\n\r\n"
+    "{\"tokens\":1,\"text\":\"c\"}\n{\"tokens\":1,\"end\":true}\n");
+  const core::Endpoint upstreams[] = { breaking.Endpoint(), other.Endpoint() };
+  const std::string software[] = { "v1", GENERATE("v1", "v2") };
+  entry.SetUpstreams(upstreams, false, "model", software);
+  bool isResumed = false;
+  for (int i = 0; i < 6; ++i) {
+    const std::string prompt = "{\"prompt\":\"" + std::to_string(i) + "\"}";
+    const std::string received = entry.m_loopback.SendRaw(
+      "POST /apps/model/v1/generate HTTP/1.1\r\nHost: h\r\n"
+      "Connection: close\r\n"
+      "X-Heatherdeal-Idempotent: true\r\nContent-Length: " +
+        std::to_string(prompt.size()) + "\r\n\r\n" + prompt,
+      false);
+    const size_t begin = received.find("a b ");
+    isResumed =
+      isResumed || (begin != std::string::npos &&
+                    received.find("\"c\"", begin) != std::string::npos);
+  }
+  CHECK(isResumed == (software[1] == "v1"));
+}
+
 TEST_CASE("a request is refused after it broke three upstreams")
 {
   const ObjectApiHost objectApi;
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -120,6 +120,28 @@
   return { XXH64(id.data(), id.size(), aUpstream.m_stats->m_incarnation) };
 }
 
+std::shared_ptr<const Pool>
+SelectSoftware(const Pool& aPool, const core::Software& aSoftware)
+{
+  auto selected = std::make_shared<Pool>(aPool);
+  std::erase_if(selected->m_upstreams, [&](const Upstream& aUpstream) {
+    return aUpstream.m_software != aSoftware || ReadFacts(aUpstream).m_leaving;
+  });
+  return selected;
+}
+
+void
+AddOtherSoftware(const Pool& aPool,
+                 const core::Software& aSoftware,
+                 std::vector<size_t>& aIndices)
+{
+  for (size_t i = 0; i < aPool.m_upstreams.size(); ++i) {
+    if (aPool.m_upstreams[i].m_software != aSoftware) {
+      aIndices.push_back(i);
+    }
+  }
+}
+
 UpstreamReservation::UpstreamReservation(std::shared_ptr<const Pool> aPool,
                                          size_t aIndex)
   : m_pool(std::move(aPool))
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -111,6 +111,17 @@
   std::shared_ptr<ServiceDemand> m_demand = std::make_shared<ServiceDemand>();
 };
 
+/// Returns the pool with only those upstreams that run the software and do not
+/// leave. They keep their statistics.
+std::shared_ptr<const Pool>
+SelectSoftware(const Pool& aPool, const core::Software& aSoftware);
+
+/// Adds the indices of the upstreams that run other software.
+void
+AddOtherSoftware(const Pool& aPool,
+                 const core::Software& aSoftware,
+                 std::vector<size_t>& aIndices);
+
 /// The pools of all services, by service name.
 struct Pools
 {
