Resume a caller's stream only at the software that began it

Cause: nobody kept which software began a stream.

The relay sends a resumption only to upstreams of that software.

--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -71,6 +71,8 @@
   } else if constexpr (std::is_same_v<T, AlreadySubmitted>) {
     aVisit("request-id", aFailure.m_requestId);
     aVisit("executed", aFailure.m_executed);
+  } else if constexpr (std::is_same_v<T, SoftwareUnavailable>) {
+    aVisit("stream", aFailure.m_stream);
   } else if constexpr (std::is_same_v<T, RecordUnavailable>) {
     aVisit("record", aFailure.m_record);
   } else if constexpr (std::is_same_v<T, VersionConflict>) {
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -127,8 +127,16 @@
   Executed m_executed = Executed::Unknown;
 };
 
-/// A record that must be written before the request is executed could not be
-/// written; the request was not executed.
+/// The request resumes a stream, and the software that began it is unknown or
+/// not served any more; the request was not executed.
+struct SoftwareUnavailable
+{
+  static constexpr std::string_view kKind = "software-unavailable";
+  std::string m_stream;
+};
+
+/// A record that must be written or read before the request is executed could
+/// not be; the request was not executed.
 struct RecordUnavailable
 {
   static constexpr std::string_view kKind = "record-unavailable";
@@ -233,6 +241,7 @@
                              RateLimited,
                              Quarantined,
                              AlreadySubmitted,
+                             SoftwareUnavailable,
                              RecordUnavailable,
                              VersionConflict,
                              GenerationRegressed,
--- a/src/core/tests/failuretest.cpp
+++ b/src/core/tests/failuretest.cpp
@@ -22,6 +22,7 @@
     RateLimited{ "songs", 1500 },
     Quarantined{ "ab12", 60000 },
     AlreadySubmitted{ "id", Executed::Yes },
+    SoftwareUnavailable{ "stream" },
     RecordUnavailable{ "submission" },
     VersionConflict{ 3, 4 },
     GenerationRegressed{ 9, 8 },
--- a/src/forwarding/decisions/attempts.cpp
+++ b/src/forwarding/decisions/attempts.cpp
@@ -26,6 +26,7 @@
   return std::holds_alternative<core::NoUpstream>(aFailure) ||
          std::holds_alternative<core::RateLimited>(aFailure) ||
          std::holds_alternative<core::Quarantined>(aFailure) ||
+         std::holds_alternative<core::SoftwareUnavailable>(aFailure) ||
          std::holds_alternative<core::InvalidInput>(aFailure);
 }
 
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -164,6 +164,7 @@
                       [](const core::NoUpstream&) { return 503U; },
                       [](const core::RateLimited&) { return 503U; },
                       [](const core::RecordUnavailable&) { return 503U; },
+                      [](const core::SoftwareUnavailable&) { return 503U; },
                       [](const core::Draining&) { return 503U; },
                       [](const auto&) { return 502U; } },
     aFailure);
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -135,6 +135,8 @@
   forwarding::CallProgress m_retryProgress;
   std::vector<size_t> m_triedUpstreams;
   core::Instant m_refusalRetryDeadline{};
+  /// The software that has to resume the stream of the call.
+  std::optional<core::Software> m_requiredSoftware;
   std::string m_lastUpstream;
   core::Software m_lastSoftware;
   uint32_t m_refusals = 0;
@@ -145,6 +147,7 @@
   , m_clients(aContext.Get<http::Clients>())
   , m_quarantine(aContext.Get<quarantine::Quarantine>())
   , m_limits(aContext.Get<limits::UpstreamLimits>())
+  , m_streamOrigins(aContext.Get<resumption::StreamOrigins>())
 {
 }
 
@@ -189,14 +192,39 @@
   co_return response;
 }
 
+absl::StatusOr<std::shared_ptr<const routing::Pool>>
+Relay::FindPool(const RoutedCall& aCall, const CallState& aState)
+{
+  const std::optional<core::Software>& software = aState.m_requiredSoftware;
+  if (!software) {
+    return m_router->FindPool(
+      configuration::ChooseService(aCall.m_route, m_nextSequence.fetch_add(1))
+        .m_value);
+  }
+  const bool isAllowed = std::ranges::any_of(
+    aCall.m_route.m_services, [&](const configuration::WeightedService& aPart) {
+      return aPart.m_service == software->m_service;
+    });
+  const auto pool =
+    isAllowed ? m_router->FindPool(software->m_service.m_value) : nullptr;
+  auto selected = pool ? routing::SelectSoftware(*pool, *software) : nullptr;
+  if (!selected || selected->m_upstreams.empty()) {
+    return core::ToStatus(core::SoftwareUnavailable{
+      std::get<ResumeStream>(aCall.m_position).m_stream.m_value });
+  }
+  return selected;
+}
+
 asio::awaitable<absl::StatusOr<RoutedResponse>>
 Relay::SendAttempt(size_t aLoopIndex,
                    const RoutedCall& aCall,
                    CallState& aState)
 {
-  const core::ServiceId& service =
-    configuration::ChooseService(aCall.m_route, m_nextSequence.fetch_add(1));
-  const auto pool = m_router->FindPool(service.m_value);
+  const auto found = FindPool(aCall, aState);
+  if (!found.ok()) {
+    co_return found.status();
+  }
+  const std::shared_ptr<const routing::Pool>& pool = *found;
   const core::Instant now = kernel::Now();
   const auto fingerprint = FingerprintOf(aCall.m_origin);
   const auto refusalEnd =
@@ -214,7 +242,7 @@
          : nullptr;
   if (!reservation) {
     co_return core::ToStatus(
-      MakeUnavailableFailure(aState, pool.get(), service));
+      MakeUnavailableFailure(aState, pool.get(), aCall.m_route));
   }
   aState.m_waiting.reset();
   aState.m_triedUpstreams.push_back(reservation->Index());
@@ -245,29 +273,38 @@
   absl::StatusOr<RoutedResponse> response =
     co_await ReadResponse(*stream, aCall, *reservation, deadline);
   RecordOutcome(aCall, *reservation, now, response.status());
+  const bool beginsStream =
+    std::holds_alternative<configuration::StreamRequests>(
+      aCall.m_route.m_kind) &&
+    std::holds_alternative<FromBeginning>(aCall.m_position);
+  if (response.ok() && beginsStream) {
+    m_streamOrigins->Record({ aCall.m_id }, reservation->Chosen().m_software);
+  }
   co_return response;
 }
 
 core::Failure
 Relay::MakeUnavailableFailure(CallState& aState,
                               const routing::Pool* aPool,
-                              const core::ServiceId& aService)
+                              const configuration::Route& aRoute)
 {
   const core::Instant now = kernel::Now();
+  const std::string& service =
+    aPool == nullptr ? aRoute.m_name : aPool->m_service.m_name.m_value;
   const auto forecast =
     aPool == nullptr ? std::nullopt : routing::ForecastPermits(*aPool, now);
   if (!forecast || aState.m_waiting) {
-    return core::NoUpstream{ aService.m_value };
+    return core::NoUpstream{ service };
   }
   const core::Instant permitAt =
     EstimatePermitOfQueue(*forecast, aPool->m_demand->m_waitingCalls.load());
   if (permitAt < aState.m_refusalRetryDeadline) {
     aState.m_waiting.emplace(aPool->m_demand);
-    return core::NoUpstream{ aService.m_value };
+    return core::NoUpstream{ service };
   }
-  return core::RateLimited{ aService.m_value,
-                            static_cast<uint64_t>(
-                              kernel::Milliseconds(permitAt - now)) };
+  return core::RateLimited{
+    service, static_cast<uint64_t>(kernel::Milliseconds(permitAt - now))
+  };
 }
 
 void
@@ -305,8 +342,10 @@
 {
   const core::Instant now = kernel::Now();
   // Waiting would not help these in time.
-  const bool isRefused = std::holds_alternative<core::Quarantined>(aFailure) ||
-                         std::holds_alternative<core::RateLimited>(aFailure);
+  const bool isRefused =
+    std::holds_alternative<core::Quarantined>(aFailure) ||
+    std::holds_alternative<core::SoftwareUnavailable>(aFailure) ||
+    std::holds_alternative<core::RateLimited>(aFailure);
   const bool wasNotExecuted =
     !isRefused && core::ExecutedOf(aFailure) == core::Executed::No;
   const bool hasNoUpstream = std::holds_alternative<core::NoUpstream>(aFailure);
@@ -338,6 +377,14 @@
     forwarding::CreditRetryBudget(m_budget, kRetryBudget);
   }
   aCall.m_deadline -= kResponseMargin;
+  if (const auto* resume = std::get_if<ResumeStream>(&aCall.m_position)) {
+    absl::StatusOr<core::Software> software =
+      co_await m_streamOrigins->Find(aLoopIndex, resume->m_stream);
+    if (!software.ok()) {
+      co_return software.status();
+    }
+    state.m_requiredSoftware = *std::move(software);
+  }
   for (;;) {
     absl::StatusOr<RoutedResponse> response =
       co_await SendAttempt(aLoopIndex, aCall, state);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -15,6 +15,7 @@
 #include "limits/upstreamlimits.h"
 #include "quarantine/quarantine.h"
 #include "relay/upstreamcodec.h"
+#include "resumption/streamorigins.h"
 #include "routing/pool.h"
 
 namespace heatherdeal::relay {
@@ -31,10 +32,24 @@
 
 using CallOrigin = std::variant<CallerOrigin, BatchOrigin>;
 
+/// The response begins with the first event.
+struct FromBeginning
+{};
+
+/// The response goes on behind an event that the caller got before. Only the
+/// software that began the stream can do that.
+struct ResumeStream
+{
+  resumption::StreamId m_stream;
+};
+
+using StreamPosition = std::variant<FromBeginning, ResumeStream>;
+
 /// A request that is sent to an upstream of its route.
 struct RoutedCall
 {
   CallOrigin m_origin;
+  StreamPosition m_position;
   configuration::Route m_route;
   /// Does not contain hop-by-hop headers.
   http::Request m_request;
@@ -86,10 +101,17 @@
     const RoutedCall& aCall,
     routing::UpstreamReservation& aReservation,
     core::Instant aDeadline);
+  /// Returns the upstreams that the call may be sent to; null if its service
+  /// has none. Fails with SoftwareUnavailable if none of them can resume its
+  /// stream.
+  absl::StatusOr<std::shared_ptr<const routing::Pool>> FindPool(
+    const RoutedCall& aCall,
+    const CallState& aState);
   /// Returns the failure of a call for which no upstream is usable now.
-  static core::Failure MakeUnavailableFailure(CallState& aState,
-                                              const routing::Pool* aPool,
-                                              const core::ServiceId& aService);
+  static core::Failure MakeUnavailableFailure(
+    CallState& aState,
+    const routing::Pool* aPool,
+    const configuration::Route& aRoute);
   /// Records what the outcome of an attempt says about the request and about
   /// the upstream.
   void RecordOutcome(const RoutedCall& aCall,
@@ -104,6 +126,7 @@
   std::shared_ptr<http::Clients> m_clients;
   std::shared_ptr<quarantine::Quarantine> m_quarantine;
   std::shared_ptr<limits::UpstreamLimits> m_limits;
+  std::shared_ptr<resumption::StreamOrigins> m_streamOrigins;
   std::atomic<uint64_t> m_nextSequence{ 0 };
   std::mutex m_budgetMutex;
   forwarding::RetryBudgetState m_budget;
--- a/src/relay/relaymodule.cpp
+++ b/src/relay/relaymodule.cpp
@@ -4,6 +4,7 @@
 #include "kernel/plugin.h"
 #include "limits/limitsmodule.h"
 #include "quarantine/quarantinemodule.h"
+#include "resumption/resumptionmodule.h"
 #include "routing/routingmodule.h"
 
 namespace heatherdeal::relay {
@@ -20,6 +21,7 @@
 constexpr std::string_view kDependencies[] = { http::kModuleName,
                                                limits::kModuleName,
                                                quarantine::kModuleName,
+                                               resumption::kModuleName,
                                                routing::kModuleName };
 
 const kernel::PluginRegistration kRegistration{ {
