Serve callers by way of other hosts while a host does not reach the upstreams

Callers of entry hosts that had lost their links to the workers were served far worse than those of other hosts. Cause: every attempt of a request took the host's own links; retries repeated the failure until attempts or time were used up.

A request that gets no answer leads to a check: connections to three upstreams. If none accepts, the host counts as cut off until a check succeeds, tells the others by gossip, and sends each call to one of them, which makes one attempt and passes no call on further. The attempt after one without an answer takes that way at once. Requests that may not be repeated go on only after a failure that proves that they were not executed; attempts, budget, pacing and quarantine count at the host that sends. Signals of a worker count on both hosts.

Headers that concern one connection are left out by one function in http, which stood in forwarding and in the adapter before.

--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -218,7 +218,8 @@
   const std::unique_ptr<http::ResponseStream> stream = *std::move(opened);
   const relay::DecodedHead decodedHead =
     relay::CodecInUse().m_decodeHead(stream->Head(), aTask.m_itemId);
-  relay::ReportSignals(*aTask.m_limits, *aTask.m_reservation, decodedHead);
+  relay::ReportSignals(
+    *aTask.m_limits, aTask.m_reservation->Chosen(), decodedHead);
   if (!std::holds_alternative<relay::Served>(decodedHead.m_outcome)) {
     const bool isMismatched =
       std::holds_alternative<relay::MismatchedResponse>(decodedHead.m_outcome);
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -299,20 +299,36 @@
   return text;
 }
 
-absl::Status
-ToStatus(const Failure& aFailure)
+std::string
+EncodeFailure(const Failure& aFailure)
 {
-  std::string payload;
-  AppendField(payload, KindOf(aFailure));
+  std::string text;
+  AppendField(text, KindOf(aFailure));
   std::visit(
-    [&payload](const auto& aF) {
-      ForEachField(aF, [&payload](std::string_view, const auto& aField) {
-        AppendField(payload, FormatField(aField));
+    [&text](const auto& aF) {
+      ForEachField(aF, [&text](std::string_view, const auto& aField) {
+        AppendField(text, FormatField(aField));
       });
     },
     aFailure);
+  return text;
+}
+
+std::optional<Failure>
+DecodeFailure(std::string_view aText)
+{
+  const std::vector<std::string_view> fields = SplitFields(aText);
+  if (fields.empty()) {
+    return std::nullopt;
+  }
+  return ParseFailure(fields.front(), std::span(fields).subspan(1));
+}
+
+absl::Status
+ToStatus(const Failure& aFailure)
+{
   absl::Status status(ToStatusCode(aFailure), Describe(aFailure));
-  status.SetPayload(kPayloadTypeUrl, absl::Cord(payload));
+  status.SetPayload(kPayloadTypeUrl, absl::Cord(EncodeFailure(aFailure)));
   return status;
 }
 
@@ -324,12 +340,7 @@
   if (!payload) {
     return std::nullopt;
   }
-  const std::string text(*payload);
-  const std::vector<std::string_view> fields = SplitFields(text);
-  if (fields.empty()) {
-    return std::nullopt;
-  }
-  return ParseFailure(fields.front(), std::span(fields).subspan(1));
+  return DecodeFailure(std::string(*payload));
 }
 
 } // namespace heatherdeal::core
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -275,6 +275,15 @@
 std::string
 Describe(const Failure& aFailure);
 
+/// Encodes the failure for another process.
+std::string
+EncodeFailure(const Failure& aFailure);
+
+/// Returns the failure that EncodeFailure has encoded, or nullopt if the text
+/// is not one.
+std::optional<Failure>
+DecodeFailure(std::string_view aText);
+
 /// Converts the failure to a status that carries it as a typed payload.
 absl::Status
 ToStatus(const Failure& aFailure);
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -26,12 +26,6 @@
 constexpr uint32_t kHttpTooManyRequests = 429;
 constexpr uint32_t kHttpServiceUnavailable = 503;
 
-// Hop-by-hop headers apply to a single connection and are not forwarded.
-constexpr std::string_view kHopByHopHeaders[] = {
-  "Connection", "Transfer-Encoding", "Content-Length", "Keep-Alive", "Host",
-  "TE",         "Upgrade",           "Trailer"
-};
-
 bool
 HeaderNamesEqual(std::string_view aLeft, std::string_view aRight)
 {
@@ -39,24 +33,14 @@
                                 { aRight.data(), aRight.size() });
 }
 
-bool
-IsHopByHopHeader(std::string_view aName)
-{
-  return std::ranges::any_of(kHopByHopHeaders,
-                             [aName](std::string_view aHopByHop) {
-                               return HeaderNamesEqual(aHopByHop, aName);
-                             });
-}
-
+/// The host name is that of the connection, too.
 std::vector<http::Header>
 EndToEndHeaders(std::span<const http::Header> aHeaders)
 {
-  std::vector<http::Header> headers;
-  for (const http::Header& header : aHeaders) {
-    if (!IsHopByHopHeader(header.m_name)) {
-      headers.push_back(header);
-    }
-  }
+  std::vector<http::Header> headers = http::CopyEndToEndHeaders(aHeaders);
+  std::erase_if(headers, [](const http::Header& aHeader) {
+    return HeaderNamesEqual(aHeader.m_name, "Host");
+  });
   return headers;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -140,6 +140,10 @@
   std::vector<std::unique_ptr<Client>> m_clients;
 };
 
+/// Returns whether the peer accepts a connection, which is closed again.
+boost::asio::awaitable<bool>
+CanConnect(core::Endpoint aPeer, core::Instant aDeadline);
+
 /// Returns the endpoint as "address:port", for failures and logs.
 std::string
 ToText(const core::Endpoint& aEndpoint);
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -226,6 +226,21 @@
 
 } // namespace
 
+asio::awaitable<bool>
+CanConnect(core::Endpoint aPeer, core::Instant aDeadline)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aPeer.m_address, error);
+  if (error) {
+    co_return false;
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_at(kernel::ToSteady(aDeadline));
+  co_await stream.async_connect(asio::ip::tcp::endpoint(address, aPeer.m_port),
+                                RedirectError(error));
+  co_return !error;
+}
+
 std::string
 ToText(const core::Endpoint& aEndpoint)
 {
--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -1,11 +1,29 @@
 #include "http/message.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "boost/beast/core/string.hpp"
 
 namespace heatherdeal::http {
 
+namespace {
+
+constexpr std::string_view kConnectionHeaders[] = {
+  "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+  "TE",         "Trailer",    "Upgrade",          "Content-Length",
+};
+
+bool
+IsConnectionHeader(std::string_view aName)
+{
+  return std::ranges::any_of(kConnectionHeaders, [aName](auto aHeader) {
+    return IsSameHeaderName(aName, aHeader);
+  });
+}
+
+} // namespace
+
 bool
 IsSameHeaderName(std::string_view aLeft, std::string_view aRight)
 {
@@ -24,6 +42,17 @@
   return {};
 }
 
+std::vector<Header>
+CopyEndToEndHeaders(std::span<const Header> aHeaders)
+{
+  std::vector<Header> headers;
+  std::ranges::copy_if(
+    aHeaders, std::back_inserter(headers), [](const Header& aHeader) {
+      return !IsConnectionHeader(aHeader.m_name);
+    });
+  return headers;
+}
+
 std::string_view
 PathOf(std::string_view aTarget)
 {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -48,6 +48,10 @@
 std::string_view
 FindHeader(std::span<const Header> aHeaders, std::string_view aName);
 
+/// Returns the headers that do not concern a single connection only.
+std::vector<Header>
+CopyEndToEndHeaders(std::span<const Header> aHeaders);
+
 /// Returns the target without its query.
 std::string_view
 PathOf(std::string_view aTarget);
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -6,6 +6,7 @@
 #include "kernel/sleep.h"
 #include "quarantine/fingerprint.h"
 #include "relay/attemptlimit.h"
+#include "relay/internal/peerrelay.h"
 
 namespace heatherdeal::relay {
 
@@ -16,6 +17,8 @@
 constexpr core::Duration kNoUpstreamDelay = std::chrono::milliseconds(25);
 // Time that is reserved for sending the response to the caller.
 constexpr core::Duration kResponseMargin = std::chrono::milliseconds(10);
+// The number of other hosts that a call is sent to at most.
+constexpr size_t kMaxPeers = 3;
 constexpr forwarding::RetryBudgetPolicy kRetryBudget{ 0.3, 20.0 };
 
 bool
@@ -59,6 +62,13 @@
   return fingerprint ? quarantine::ToText(*fingerprint) : "";
 }
 
+/// Returns true if the caller has left.
+bool
+IsAborted(const RoutedCall& aCall)
+{
+  return aCall.m_abort && aCall.m_abort->IsAbortRequested();
+}
+
 /// Returns true if the upstream broke the connection, or if no request has been
 /// answered since this one was sent.
 bool
@@ -112,7 +122,7 @@
 
 void
 ReportSignals(limits::UpstreamLimits& aLimits,
-              routing::UpstreamReservation& aReservation,
+              const routing::Upstream& aUpstream,
               const DecodedHead& aHead)
 {
   const bool isServed = std::holds_alternative<Served>(aHead.m_outcome);
@@ -120,10 +130,10 @@
   const bool namesLimit =
     std::holds_alternative<limits::LimitNamed>(aHead.m_limit);
   if (isServed || (isRefusal && namesLimit)) {
-    aLimits.ReportAnswer(aReservation.Chosen(), aHead.m_limit);
+    aLimits.ReportAnswer(aUpstream, aHead.m_limit);
   }
   if ((isServed || isRefusal) && aHead.m_isLeaving) {
-    aReservation.ReportLeaving();
+    routing::ReportLeaving(aUpstream);
   }
 }
 
@@ -140,6 +150,11 @@
   std::string m_lastUpstream;
   core::Software m_lastSoftware;
   uint32_t m_refusals = 0;
+  /// True if an attempt got no answer, so that the next one should go by way of
+  /// another host.
+  bool m_isUnanswered = false;
+  /// Names of the hosts that the call went to.
+  std::vector<std::string> m_triedPeers;
 };
 
 Relay::Relay(kernel::Context& aContext)
@@ -148,7 +163,21 @@
   , m_quarantine(aContext.Get<quarantine::Quarantine>())
   , m_limits(aContext.Get<limits::UpstreamLimits>())
   , m_streamOrigins(aContext.Get<resumption::StreamOrigins>())
+  , m_reach(std::make_shared<ReachMonitor>(aContext))
+  , m_peers(std::make_shared<PeerRelay>(aContext, m_reach))
+{
+}
+
+void
+Relay::Start()
 {
+  m_peers->Start();
+}
+
+asio::awaitable<void>
+Relay::ServePeer(http::Exchange& aExchange)
+{
+  return m_peers->Serve(aExchange, *this);
 }
 
 asio::awaitable<absl::StatusOr<RoutedResponse>>
@@ -160,7 +189,7 @@
   const http::ResponseHead& head = aStream.Head();
   const DecodedHead decodedHead = CodecInUse().m_decodeHead(head, aCall.m_id);
   aReservation.ReportAnswer(kernel::Now());
-  ReportSignals(*m_limits, aReservation, decodedHead);
+  ReportSignals(*m_limits, aReservation.Chosen(), decodedHead);
   if (decodedHead.m_load) {
     RecordLoad(aReservation, *decodedHead.m_load);
   }
@@ -183,6 +212,7 @@
   RoutedResponse response;
   response.m_response.m_head = head;
   response.m_proof = served->m_proof;
+  response.m_upstream = aReservation.Chosen().m_id;
   absl::StatusOr<std::string> body =
     co_await aStream.ReadBody(aReservation.Chosen().m_id.m_value, aDeadline);
   if (!body.ok()) {
@@ -267,6 +297,10 @@
                               aCall.m_abort);
   if (!opened.ok()) {
     RecordOutcome(aCall, *reservation, now, opened.status());
+    if (!IsAborted(aCall)) {
+      aState.m_isUnanswered = true;
+      m_reach->ReportUnanswered();
+    }
     co_return opened.status();
   }
   const std::unique_ptr<http::ResponseStream> stream = *std::move(opened);
@@ -283,6 +317,68 @@
   co_return response;
 }
 
+std::optional<objectstore::HostEntry>
+Relay::ChoosePeer(const RoutedCall& aCall, const CallState& aState)
+{
+  const bool shouldDetour = aCall.m_mayDetour &&
+                            aState.m_triedPeers.size() < kMaxPeers &&
+                            (m_reach->IsCutOff() || aState.m_isUnanswered);
+  if (!shouldDetour) {
+    return std::nullopt;
+  }
+  return m_peers->ChoosePeer(aState.m_triedPeers, m_nextSequence.fetch_add(1));
+}
+
+asio::awaitable<absl::StatusOr<RoutedResponse>>
+Relay::MakeAttempt(size_t aLoopIndex,
+                   const RoutedCall& aCall,
+                   CallState& aState)
+{
+  if (auto peer = ChoosePeer(aCall, aState)) {
+    return SendByPeer(aLoopIndex, *std::move(peer), aCall, aState);
+  }
+  return SendAttempt(aLoopIndex, aCall, aState);
+}
+
+asio::awaitable<absl::StatusOr<RoutedResponse>>
+Relay::SendByPeer(size_t aLoopIndex,
+                  objectstore::HostEntry aPeer,
+                  const RoutedCall& aCall,
+                  CallState& aState)
+{
+  aState.m_triedPeers.push_back(aPeer.m_name);
+  aState.m_lastUpstream = aPeer.m_name;
+  aState.m_lastSoftware = {};
+  const core::Instant deadline =
+    AttemptDeadline(aCall.m_route,
+                    aState.m_retryProgress.m_attempts,
+                    kernel::Now(),
+                    aCall.m_deadline);
+  absl::StatusOr<PeerResponse> response =
+    co_await m_peers->Send(aLoopIndex, aPeer, aCall, deadline);
+  if (!response.ok()) {
+    co_return response.status();
+  }
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "relay",
+                   "relayed",
+                   { { "request", aCall.m_id },
+                     { "host", aPeer.m_name },
+                     { "upstream", response->m_upstream.m_value } });
+  const DecodedHead head =
+    CodecInUse().m_decodeHead(response->m_response.m_head, aCall.m_id);
+  if (const auto upstream = m_router->FindUpstream(response->m_upstream)) {
+    ReportSignals(*m_limits, *upstream, head);
+  }
+  const auto* served = std::get_if<Served>(&head.m_outcome);
+  if (served == nullptr) {
+    co_return core::ToStatus(core::UnprovedResponse{ aPeer.m_name });
+  }
+  co_return RoutedResponse{ std::move(response->m_response),
+                            served->m_proof,
+                            response->m_upstream };
+}
+
 core::Failure
 Relay::MakeUnavailableFailure(CallState& aState,
                               const routing::Pool* aPool,
@@ -328,8 +424,7 @@
   if (!isRefusal) {
     aReservation.ReportFailure(kernel::Now());
   }
-  const bool aborted = aCall.m_abort && aCall.m_abort->IsAbortRequested();
-  if (fingerprint && !aborted &&
+  if (fingerprint && !IsAborted(aCall) &&
       HasPresumablyCrashed(failure, *aReservation.Chosen().m_stats, aSentAt)) {
     m_quarantine->ReportCrash(*fingerprint, run);
   }
@@ -351,8 +446,11 @@
   const bool hasNoUpstream = std::holds_alternative<core::NoUpstream>(aFailure);
   // The request was not executed, so retrying it on another upstream is safe
   // and does not count against the retry budget.
-  if ((wasNotExecuted || hasNoUpstream) &&
-      now < aState.m_refusalRetryDeadline) {
+  const bool canDetour = wasNotExecuted && aState.m_triedPeers.empty() &&
+                         now < aCall.m_deadline &&
+                         ChoosePeer(aCall, aState).has_value();
+  if (canDetour || ((wasNotExecuted || hasNoUpstream) &&
+                    now < aState.m_refusalRetryDeadline)) {
     aState.m_refusals += 1;
     return forwarding::RetryCall{};
   }
@@ -387,9 +485,8 @@
   }
   for (;;) {
     absl::StatusOr<RoutedResponse> response =
-      co_await SendAttempt(aLoopIndex, aCall, state);
-    const bool aborted = aCall.m_abort && aCall.m_abort->IsAbortRequested();
-    if (response.ok() || aborted) {
+      co_await MakeAttempt(aLoopIndex, aCall, state);
+    if (response.ok() || IsAborted(aCall)) {
       co_return response;
     }
     const core::Failure failure = http::FailureOf(response.status());
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -11,9 +11,11 @@
 #include "forwarding/attempts.h"
 #include "http/callabort.h"
 #include "http/client.h"
+#include "http/exchange.h"
 #include "kernel/context.h"
 #include "limits/upstreamlimits.h"
 #include "quarantine/quarantine.h"
+#include "relay/reachmonitor.h"
 #include "relay/upstreamcodec.h"
 #include "resumption/streamorigins.h"
 #include "routing/pool.h"
@@ -58,6 +60,8 @@
   core::Instant m_deadline{};
   /// Null if the call cannot be aborted before its deadline.
   std::shared_ptr<http::CallAbort> m_abort;
+  /// False for a call that has come by way of another host already.
+  bool m_mayDetour = true;
 };
 
 /// The complete response of an upstream, with its proof of origin.
@@ -65,23 +69,33 @@
 {
   http::Response m_response;
   std::string m_proof;
+  /// The upstream that has executed the request.
+  core::UpstreamId m_upstream;
 };
 
+class PeerRelay;
+
 /// Records what an answer says of its upstream: its limit, and whether it
 /// leaves. The answer of another instance says nothing, and a refusal without a
 /// limit does not lift one.
 void
 ReportSignals(limits::UpstreamLimits& aLimits,
-              routing::UpstreamReservation& aReservation,
+              const routing::Upstream& aUpstream,
               const DecodedHead& aHead);
 
 /// Sends requests to the upstreams of their route, and retries them where this
-/// is safe.
+/// is safe. Goes by way of other hosts while this one does not reach upstreams.
 class Relay : public std::enable_shared_from_this<Relay>
 {
 public:
   explicit Relay(kernel::Context& aContext);
 
+  /// Starts the exchange with other hosts. Control thread only.
+  void Start();
+
+  /// Serves a call of another host that does not reach upstreams.
+  boost::asio::awaitable<void> ServePeer(http::Exchange& aExchange);
+
   /// Returns the response of an upstream, whatever its status. If all attempts
   /// failed, returns the failure after which the request is most likely to have
   /// been executed. Must be called on the thread of the loop.
@@ -94,6 +108,17 @@
 private:
   struct CallState;
 
+  /// Returns the host by way of which the call should go now, if any.
+  std::optional<objectstore::HostEntry> ChoosePeer(const RoutedCall& aCall,
+                                                   const CallState& aState);
+  /// Makes one attempt, directly or by way of another host.
+  boost::asio::awaitable<absl::StatusOr<RoutedResponse>>
+  MakeAttempt(size_t aLoopIndex, const RoutedCall& aCall, CallState& aState);
+  boost::asio::awaitable<absl::StatusOr<RoutedResponse>> SendByPeer(
+    size_t aLoopIndex,
+    objectstore::HostEntry aPeer,
+    const RoutedCall& aCall,
+    CallState& aState);
   boost::asio::awaitable<absl::StatusOr<RoutedResponse>>
   SendAttempt(size_t aLoopIndex, const RoutedCall& aCall, CallState& aState);
   boost::asio::awaitable<absl::StatusOr<RoutedResponse>> ReadResponse(
@@ -127,6 +152,8 @@
   std::shared_ptr<quarantine::Quarantine> m_quarantine;
   std::shared_ptr<limits::UpstreamLimits> m_limits;
   std::shared_ptr<resumption::StreamOrigins> m_streamOrigins;
+  std::shared_ptr<ReachMonitor> m_reach;
+  std::shared_ptr<PeerRelay> m_peers;
   std::atomic<uint64_t> m_nextSequence{ 0 };
   std::mutex m_budgetMutex;
   forwarding::RetryBudgetState m_budget;
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -163,13 +163,13 @@
 }
 
 void
-UpstreamReservation::ReportLeaving()
+ReportLeaving(const Upstream& aUpstream)
 {
-  if (!Chosen().m_stats->m_leaving.exchange(true)) {
+  if (!aUpstream.m_stats->m_leaving.exchange(true)) {
     kernel::LogEvent(kernel::LogLevel::Info,
                      "routing",
                      "upstream-leaving",
-                     { { "upstream", Chosen().m_id.m_value } });
+                     { { "upstream", aUpstream.m_id.m_value } });
   }
 }
 
@@ -290,6 +290,20 @@
   return found == pools->m_byService.end() ? nullptr : found->second;
 }
 
+std::optional<Upstream>
+Router::FindUpstream(const core::UpstreamId& aId) const
+{
+  const auto pools = m_pools.Read();
+  for (const auto& [name, pool] : pools->m_byService) {
+    const auto found =
+      std::ranges::find(pool->m_upstreams, aId, &Upstream::m_id);
+    if (found != pool->m_upstreams.end()) {
+      return *found;
+    }
+  }
+  return std::nullopt;
+}
+
 std::unique_ptr<UpstreamReservation>
 Router::ReserveUpstream(const std::shared_ptr<const Pool>& aPool,
                         TriedUpstreams aTried,
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -143,9 +143,6 @@
 
   /// Records that the head of a response has arrived, whatever its status.
   void ReportAnswer(core::Instant aNow);
-  /// Records that the upstream leaves. It gets no new requests until its
-  /// process restarts.
-  void ReportLeaving();
   /// Records that the request succeeded.
   void ReportSuccess();
   /// Records that the request failed, which may eject the upstream.
@@ -163,6 +160,11 @@
   size_t m_index;
 };
 
+/// Records that the upstream leaves. It gets no new requests until its process
+/// restarts.
+void
+ReportLeaving(const Upstream& aUpstream);
+
 /// When requests may be sent to a service all of whose usable upstreams have
 /// named limits that are used up.
 struct PermitForecast
@@ -196,6 +198,9 @@
   /// Returns the current pools.
   std::shared_ptr<const Pools> ReadPools() const { return m_pools.Read(); }
 
+  /// Returns the upstream with this id, if a service has it.
+  std::optional<Upstream> FindUpstream(const core::UpstreamId& aId) const;
+
   /// Chooses an upstream by the service's routing policy. Returns null if no
   /// upstream of the pool is usable.
   std::unique_ptr<UpstreamReservation> ReserveUpstream(
