Reject requests late in a planned stop that may not end in time

Reported by other operators, and shown here: an entry host that stops goes on accepting until its drain limit, and a request that came shortly before was cut off without an answer, also one that may not be repeated. Cause: the deadline of a call did not know of the end of the process. Late in a shutdown, a call whose deadline lies behind it is rejected as not executed; an earlier one ends with an answer before it.

--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -239,10 +239,12 @@
       return;
     }
     LogEvent(LogLevel::Info, "kernel", "drain-started", {});
-    drainTimer.Set(Now() + aDrainLimit);
+    const core::Instant deadline = Now() + aDrainLimit;
+    drainTimer.Set(deadline);
     DrainPlugins(aContext, aPlugins);
-    aContext.ProcessShutdown().Request(
-      [&] { aContext.Control().Post([&] { aContext.Control().Stop(); }); });
+    aContext.ProcessShutdown().Request(deadline, [&] {
+      aContext.Control().Post([&] { aContext.Control().Stop(); });
+    });
   });
   aContext.Control().Run();
   aContext.Traffic().Stop();
--- a/src/kernel/internal/shutdown.cpp
+++ b/src/kernel/internal/shutdown.cpp
@@ -10,9 +10,10 @@
 }
 
 void
-Shutdown::Request(std::function<void()> aOnIdle)
+Shutdown::Request(core::Instant aDeadline, std::function<void()> aOnIdle)
 {
   m_onIdle = std::move(aOnIdle);
+  m_deadline.store(aDeadline);
   m_requested.store(true);
   // The count starts at one, for the process itself, so that it does not reach
   // zero before a shutdown is requested.
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -17,6 +17,9 @@
 constexpr core::Duration kNoUpstreamDelay = std::chrono::milliseconds(25);
 // Time that is reserved for sending the response to the caller.
 constexpr core::Duration kResponseMargin = std::chrono::milliseconds(10);
+// Most requests end long before their deadline. In the last part of a shutdown,
+// a request that may not end in time is rejected, so that it runs elsewhere.
+constexpr core::Duration kLateInShutdown = std::chrono::milliseconds(4500);
 // The number of other hosts that a call is sent to at most.
 constexpr size_t kMaxPeers = 3;
 constexpr forwarding::RetryBudgetPolicy kRetryBudget{ 0.3, 20.0 };
@@ -158,7 +161,8 @@
 };
 
 Relay::Relay(kernel::Context& aContext)
-  : m_router(aContext.Get<routing::Router>())
+  : m_context(aContext)
+  , m_router(aContext.Get<routing::Router>())
   , m_clients(aContext.Get<http::Clients>())
   , m_quarantine(aContext.Get<quarantine::Quarantine>())
   , m_limits(aContext.Get<limits::UpstreamLimits>())
@@ -474,6 +478,13 @@
     const std::scoped_lock lock(m_budgetMutex);
     forwarding::CreditRetryBudget(m_budget, kRetryBudget);
   }
+  const core::Instant shutdownDeadline = m_context.ProcessShutdown().Deadline();
+  if (aCall.m_deadline > shutdownDeadline) {
+    if (shutdownDeadline - arrivedAt < kLateInShutdown) {
+      co_return core::ToStatus(core::Draining{ m_context.Self().m_host });
+    }
+    aCall.m_deadline = shutdownDeadline;
+  }
   aCall.m_deadline -= kResponseMargin;
   if (const auto* resume = std::get_if<ResumeStream>(&aCall.m_position)) {
     absl::StatusOr<core::Software> software =
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -98,7 +98,8 @@
 
   /// Returns the response of an upstream, whatever its status. If all attempts
   /// failed, returns the failure after which the request is most likely to have
-  /// been executed. Must be called on the thread of the loop.
+  /// been executed. Fails with Draining, without an attempt, if the process may
+  /// soon end before the deadline. Must be called on the thread of the loop.
   boost::asio::awaitable<absl::StatusOr<RoutedResponse>> SendWithRetries(
     size_t aLoopIndex,
     RoutedCall aCall);
@@ -147,6 +148,7 @@
                                       CallState& aState,
                                       const core::Failure& aFailure);
 
+  kernel::Context& m_context;
   std::shared_ptr<routing::Router> m_router;
   std::shared_ptr<http::Clients> m_clients;
   std::shared_ptr<quarantine::Quarantine> m_quarantine;
