--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -36,13 +36,14 @@
 constexpr size_t kMaxDiscardedBytes = 16 * 1024;
 constexpr core::Duration kDiscardTimeout = std::chrono::milliseconds(100);
 // A peer that disappears without closing its connections is detected after
-// about three seconds. The user timeout also decides when keep-alive probes give
-// up, whatever their number, so that both are the same time.
+// about three seconds. The user timeout also decides when keep-alive probes
+// give up, whatever their number, so that both are the same time.
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kTcpUserTimeoutMilliseconds =
-  1000U * (kKeepAliveIdleSeconds + kKeepAliveIntervalSeconds * kKeepAliveProbes);
+  1000U *
+  (kKeepAliveIdleSeconds + kKeepAliveIntervalSeconds * kKeepAliveProbes);
 
 auto
 RedirectError(boost::system::error_code& aError)
