--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -17,13 +17,6 @@
 constexpr core::Duration kTakeoverInterval = std::chrono::milliseconds(800);
 constexpr core::Duration kHandOverRetryDelay = std::chrono::milliseconds(300);
 
-int64_t
-UnixMilliseconds()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 absl::StatusOr<Placement>
 ParseStoredPlacement(const objectstore::StoredObject& aObject)
 {
@@ -238,7 +231,7 @@
 Batches::IsExpired(const Placement& aPlacement) const
 {
   const int64_t oldest =
-    UnixMilliseconds() - kernel::Milliseconds(m_settings.m_retention);
+    kernel::UnixMilliseconds() - kernel::Milliseconds(m_settings.m_retention);
   return aPlacement.m_acceptedAt < oldest;
 }
 
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -78,12 +78,11 @@
 {
   m_state.m_policy = m_settings.m_policy;
   m_state.m_self.m_host = aContext.Self().m_host;
-  const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
   // The wall time is higher than the incarnation before a restart, so that
   // peers accept the new state at once. If the clock was set back, the host
   // raises its incarnation when it receives its old state.
-  m_state.m_self.m_incarnation = static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count());
+  m_state.m_self.m_incarnation =
+    static_cast<uint64_t>(kernel::UnixMilliseconds());
   m_state.m_random.seed(std::hash<std::string>()(aContext.Self().m_host));
 }
 
--- a/src/kernel/controlthread.h
+++ b/src/kernel/controlthread.h
@@ -17,6 +17,11 @@
 core::Instant
 Now();
 
+/// Returns the wall-clock time in Unix milliseconds, for times that other hosts
+/// read. Hosts agree on it only roughly, and it may be set back.
+int64_t
+UnixMilliseconds();
+
 /// Converts the instant to the clock that Asio timers use.
 std::chrono::steady_clock::time_point
 ToSteady(core::Instant aInstant);
--- a/src/kernel/internal/controlthread.cpp
+++ b/src/kernel/internal/controlthread.cpp
@@ -16,6 +16,13 @@
   return core::Instant(std::chrono::duration_cast<core::Duration>(sinceBoot));
 }
 
+int64_t
+UnixMilliseconds()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 std::chrono::steady_clock::time_point
 ToSteady(core::Instant aInstant)
 {
--- a/src/kernel/internal/log.cpp
+++ b/src/kernel/internal/log.cpp
@@ -8,6 +8,7 @@
 #include "boost/json/serialize.hpp"
 #include "easylogging++.h"
 
+#include "kernel/controlthread.h"
 #include "kernel/internal/logwriter.h"
 
 namespace heatherdeal::kernel {
@@ -49,13 +50,6 @@
     aValue);
 }
 
-int64_t
-UnixTimeMilliseconds()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 } // namespace
 
 void
@@ -90,7 +84,7 @@
     return;
   }
   boost::json::object line;
-  line["t"] = UnixTimeMilliseconds();
+  line["t"] = UnixMilliseconds();
   line["process"] = state.m_process;
   line["level"] = ToJsonView(ToText(aLevel));
   line["part"] = ToJsonView(aComponent);
--- a/src/quarantine/internal/refusalstore.cpp
+++ b/src/quarantine/internal/refusalstore.cpp
@@ -21,19 +21,11 @@
 // that all but the first find it stored.
 constexpr int64_t kMaxWriteDelayMs = 500;
 
-int64_t
-WallMilliseconds()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 std::string
 EncodeObject(std::span<const SuspectReport> aReports)
 {
   const boost::json::value object{
-    { "written_at", WallMilliseconds() },
+    { "written_at", kernel::UnixMilliseconds() },
     { "reports",
       absl::Base64Escape(
         EncodeReports(aReports, kMaxStoredBytes, kernel::Now())) }
@@ -54,7 +46,7 @@
       std::string bytes;
       absl::Base64Unescape(text, &bytes);
       const std::chrono::milliseconds age(
-        std::max<int64_t>(0, WallMilliseconds() - writtenAt));
+        std::max<int64_t>(0, kernel::UnixMilliseconds() - writtenAt));
       auto decoded = DecodeReports(bytes, kernel::Now() - age);
       return decoded.ok() ? *std::move(decoded) : std::vector<SuspectReport>();
     });
--- a/src/resumption/internal/originjson.cpp
+++ b/src/resumption/internal/originjson.cpp
@@ -4,6 +4,7 @@
 
 #include "boost/json/serialize.hpp"
 
+#include "kernel/controlthread.h"
 #include "kernel/json.h"
 
 namespace heatherdeal::resumption {
@@ -14,14 +15,6 @@
 
 constexpr size_t kMaxStoredOrigins = 2000;
 
-int64_t
-WallMilliseconds()
-{
-  return std::chrono::duration_cast<milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 boost::json::value
 ToValue(const StreamOrigin& aOrigin, core::Instant aNow, int64_t aWallNow)
 {
@@ -61,7 +54,7 @@
 std::string
 ToJson(std::span<const StreamOrigin> aOrigins, core::Instant aNow)
 {
-  const int64_t wallNow = WallMilliseconds();
+  const int64_t wallNow = kernel::UnixMilliseconds();
   const size_t excess = aOrigins.size() > kMaxStoredOrigins
                           ? aOrigins.size() - kMaxStoredOrigins
                           : 0;
@@ -78,7 +71,7 @@
 {
   return kernel::ParseMessage<std::vector<StreamOrigin>>(
     aText, "stream origins", [&](kernel::SettingsReader& aReader) {
-      const int64_t wallNow = WallMilliseconds();
+      const int64_t wallNow = kernel::UnixMilliseconds();
       std::vector<StreamOrigin> origins;
       aReader.ForEach(
         "streams",
