--- a/src/batches/internal/objectnames.h
+++ b/src/batches/internal/objectnames.h
@@ -17,7 +17,7 @@
 inline constexpr std::string_view kCheckpointKind = "batchcheckpoints";
 
 /// The service name of hosts that run batches, in the host list.
-inline constexpr std::string_view kHostService = "rollout";
+inline constexpr std::string_view kHostService = objectstore::kRolloutRole;
 
 /// Returns the number of upstreams in the host list. Only hosts of our own take
 /// part in gossip.
--- a/src/objectstore/hostlist.h
+++ b/src/objectstore/hostlist.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,10 @@
 
 namespace heatherdeal::objectstore {
 
+/// The roles of this system's own hosts that other modules look for.
+inline constexpr std::string_view kEntryRole = "entry";
+inline constexpr std::string_view kRolloutRole = "rollout";
+
 /// The upstream rejects orders that carry an outdated fencing token.
 struct ChecksFencingToken
 {};
--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -20,8 +20,6 @@
 constexpr std::string_view kFailed = "failed";
 constexpr std::string_view kCutOff = "cut-off";
 constexpr std::string_view kTopicName = "cut-off";
-constexpr std::string_view kEntryService = "entry";
-constexpr std::string_view kRolloutService = "rollout";
 
 /// What the other host has to know of a call beside the request itself.
 struct CallDescription
@@ -193,8 +191,8 @@
   std::vector<PeerCandidate> candidates;
   std::vector<const objectstore::HostEntry*> entries;
   for (const objectstore::HostEntry& host : *hosts) {
-    const bool isEntry = host.m_service == kEntryService;
-    if ((isEntry || host.m_service == kRolloutService) &&
+    const bool isEntry = host.m_service == objectstore::kEntryRole;
+    if ((isEntry || host.m_service == objectstore::kRolloutRole) &&
         host.m_name != m_context.Self().m_host &&
         m_gossip->IsAvailable(host.m_name)) {
       candidates.push_back({ host.m_name, isEntry });
--- a/src/resumption/internal/streamorigins.cpp
+++ b/src/resumption/internal/streamorigins.cpp
@@ -17,7 +17,6 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view kObjectKind = "streamorigins";
-constexpr std::string_view kEntryService = "entry";
 constexpr core::Duration kMinSaveInterval = std::chrono::milliseconds(200);
 // With this interval for each entry host, all of them together make a hundred
 // calls to the store in a second at most.
@@ -149,7 +148,7 @@
 {
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
   const auto entryHosts = std::ranges::count(
-    *hosts, kEntryService, &objectstore::HostEntry::m_service);
+    *hosts, objectstore::kEntryRole, &objectstore::HostEntry::m_service);
   return std::max<core::Duration>(kMinSaveInterval,
                                   entryHosts * kSaveIntervalPerHost);
 }
--- a/src/rollout/internal/shardmanager.cpp
+++ b/src/rollout/internal/shardmanager.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr uint32_t kMaxPercent = 100;
-constexpr std::string_view kHostRole = "rollout";
 constexpr size_t kCandidatesPerShard = 2;
 constexpr core::Duration kCandidacyInterval = std::chrono::seconds(1);
 constexpr core::Duration kLeaseReleaseGracePeriod =
@@ -134,7 +133,8 @@
   std::vector<std::string> liveHosts{ m_context.Self().m_host };
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
   for (const objectstore::HostEntry& host : *hosts) {
-    const bool isLive = host.m_service == kHostRole && !host.m_leaving &&
+    const bool isLive = host.m_service == objectstore::kRolloutRole &&
+                        !host.m_leaving &&
                         host.m_name != m_context.Self().m_host &&
                         !gossip->IsLeaving(host.m_name) &&
                         !gossip::IsSuspect(gossip->State(), host.m_name, now);
