Choose the service of an attempt before its upstreams again

Looking for the upstreams of a resumed stream had taken the choice of the service in, so that a failure without any pool named the route as the service in logs. The path for other hosts' calls moves to the public header, which the plug-in and tests need; candidates hold views, so that a host with many peers copies no names for each call. Otherwise behaviour is unchanged.

--- a/src/relay/internal/peerrelay.h
+++ b/src/relay/internal/peerrelay.h
@@ -16,9 +16,6 @@
 
 namespace heatherdeal::relay {
 
-/// Prefix of the paths on which hosts serve the calls of other hosts.
-inline constexpr std::string_view kPeerPath = "/relay/";
-
 /// The response of an upstream that another host has passed on.
 struct PeerResponse
 {
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -226,22 +226,33 @@
   co_return response;
 }
 
+core::ServiceId
+Relay::ChooseService(const RoutedCall& aCall, const CallState& aState)
+{
+  return aState.m_requiredSoftware
+           ? aState.m_requiredSoftware->m_service
+           : configuration::ChooseService(aCall.m_route,
+                                          m_nextSequence.fetch_add(1));
+}
+
 absl::StatusOr<std::shared_ptr<const routing::Pool>>
-Relay::FindPool(const RoutedCall& aCall, const CallState& aState)
+Relay::FindPool(const RoutedCall& aCall,
+                const CallState& aState,
+                const core::ServiceId& aService) const
 {
-  const std::optional<core::Software>& software = aState.m_requiredSoftware;
-  if (!software) {
-    return m_router->FindPool(
-      configuration::ChooseService(aCall.m_route, m_nextSequence.fetch_add(1))
-        .m_value);
+  auto pool = m_router->FindPool(aService.m_value);
+  if (!aState.m_requiredSoftware) {
+    return pool;
   }
-  const bool isAllowed = std::ranges::any_of(
-    aCall.m_route.m_services, [&](const configuration::WeightedService& aPart) {
-      return aPart.m_service == software->m_service;
-    });
-  const auto pool =
-    isAllowed ? m_router->FindPool(software->m_service.m_value) : nullptr;
-  auto selected = pool ? routing::SelectSoftware(*pool, *software) : nullptr;
+  // The route may have been moved to other services since the stream began.
+  const bool isAllowed =
+    std::ranges::find(aCall.m_route.m_services,
+                      aService,
+                      &configuration::WeightedService::m_service) !=
+    aCall.m_route.m_services.end();
+  auto selected = pool && isAllowed
+                    ? routing::SelectSoftware(*pool, *aState.m_requiredSoftware)
+                    : nullptr;
   if (!selected || selected->m_upstreams.empty()) {
     return core::ToStatus(core::SoftwareUnavailable{
       std::get<ResumeStream>(aCall.m_position).m_stream.m_value });
@@ -254,7 +265,8 @@
                    const RoutedCall& aCall,
                    CallState& aState)
 {
-  const auto found = FindPool(aCall, aState);
+  const core::ServiceId service = ChooseService(aCall, aState);
+  const auto found = FindPool(aCall, aState, service);
   if (!found.ok()) {
     co_return found.status();
   }
@@ -276,7 +288,7 @@
          : nullptr;
   if (!reservation) {
     co_return core::ToStatus(
-      MakeUnavailableFailure(aState, pool.get(), aCall.m_route));
+      MakeUnavailableFailure(aState, pool.get(), service));
   }
   aState.m_waiting.reset();
   aState.m_triedUpstreams.push_back(reservation->Index());
@@ -386,25 +398,23 @@
 core::Failure
 Relay::MakeUnavailableFailure(CallState& aState,
                               const routing::Pool* aPool,
-                              const configuration::Route& aRoute)
+                              const core::ServiceId& aService)
 {
   const core::Instant now = kernel::Now();
-  const std::string& service =
-    aPool == nullptr ? aRoute.m_name : aPool->m_service.m_name.m_value;
   const auto forecast =
     aPool == nullptr ? std::nullopt : routing::ForecastPermits(*aPool, now);
   if (!forecast || aState.m_waiting) {
-    return core::NoUpstream{ service };
+    return core::NoUpstream{ aService.m_value };
   }
   const core::Instant permitAt =
     EstimatePermitOfQueue(*forecast, aPool->m_demand->m_waitingCalls.load());
   if (permitAt < aState.m_refusalRetryDeadline) {
     aState.m_waiting.emplace(aPool->m_demand);
-    return core::NoUpstream{ service };
+    return core::NoUpstream{ aService.m_value };
   }
-  return core::RateLimited{
-    service, static_cast<uint64_t>(kernel::Milliseconds(permitAt - now))
-  };
+  return core::RateLimited{ aService.m_value,
+                            static_cast<uint64_t>(
+                              kernel::Milliseconds(permitAt - now)) };
 }
 
 void
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -32,7 +32,7 @@
 /// A host that calls may go to.
 struct PeerCandidate
 {
-  std::string m_name;
+  std::string_view m_name;
   /// True if the host serves callers. The others are busy with batches, and are
   /// chosen only after a host of this kind has failed.
   bool m_isEntry = true;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -73,6 +73,9 @@
   core::UpstreamId m_upstream;
 };
 
+/// Prefix of the paths on which hosts serve the calls of other hosts.
+inline constexpr std::string_view kPeerPath = "/relay/";
+
 class PeerRelay;
 
 /// Records what an answer says of its upstream: its limit, and whether it
@@ -127,17 +130,21 @@
     const RoutedCall& aCall,
     routing::UpstreamReservation& aReservation,
     core::Instant aDeadline);
-  /// Returns the upstreams that the call may be sent to; null if its service
-  /// has none. Fails with SoftwareUnavailable if none of them can resume its
-  /// stream.
+  /// Returns the service that the next attempt goes to: the one that began the
+  /// stream, or one by the weights of the route.
+  core::ServiceId ChooseService(const RoutedCall& aCall,
+                                const CallState& aState);
+  /// Returns the upstreams of the service that the call may be sent to; null if
+  /// there is no such service. Fails with SoftwareUnavailable if none of them
+  /// can resume the stream of the call.
   absl::StatusOr<std::shared_ptr<const routing::Pool>> FindPool(
     const RoutedCall& aCall,
-    const CallState& aState);
+    const CallState& aState,
+    const core::ServiceId& aService) const;
   /// Returns the failure of a call for which no upstream is usable now.
-  static core::Failure MakeUnavailableFailure(
-    CallState& aState,
-    const routing::Pool* aPool,
-    const configuration::Route& aRoute);
+  static core::Failure MakeUnavailableFailure(CallState& aState,
+                                              const routing::Pool* aPool,
+                                              const core::ServiceId& aService);
   /// Records what the outcome of an attempt says about the request and about
   /// the upstream.
   void RecordOutcome(const RoutedCall& aCall,
--- a/src/relay/tests/peerstest.cpp
+++ b/src/relay/tests/peerstest.cpp
@@ -25,7 +25,7 @@
   for (uint64_t sequence = 0; sequence < 12; ++sequence) {
     const auto index = ChoosePeer(aTable, kCandidates, aTried, sequence, aNow);
     if (index) {
-      chosen.insert(kCandidates[*index].m_name);
+      chosen.emplace(kCandidates[*index].m_name);
     }
   }
   return chosen;
