--- a/src/forwarding/tests/callstest.cpp
+++ b/src/forwarding/tests/callstest.cpp
@@ -110,6 +110,20 @@
     m_router->SetHosts(hosts);
   }
 
+  /// Asks the service "model" for a token stream, and returns all bytes of the
+  /// response.
+  std::string GenerateRaw(int aPrompt)
+  {
+    const std::string prompt =
+      "{\"prompt\":\"" + std::to_string(aPrompt) + "\"}";
+    return m_loopback.SendRaw(
+      "POST /apps/model/v1/generate HTTP/1.1\r\nHost: h\r\n"
+      "Connection: close\r\n"
+      "X-Heatherdeal-Idempotent: true\r\nContent-Length: " +
+        std::to_string(prompt.size()) + "\r\n\r\n" + prompt,
+      false);
+  }
+
   http::Response Call(std::string_view aMethod, std::string_view aRequestId)
   {
     http::Request request{ std::string(aMethod), "/apps/desk/x", {}, "{}" };
@@ -308,13 +322,7 @@
   entry.SetUpstreams(bothUpstreams, false, "model");
   int begunStreams = 0;
   for (int i = 0; i < 6; ++i) {
-    const std::string prompt = "{\"prompt\":\"" + std::to_string(i) + "\"}";
-    const std::string received = entry.m_loopback.SendRaw(
-      "POST /apps/model/v1/generate HTTP/1.1\r\nHost: h\r\n"
-      "Connection: close\r\n"
-      "X-Heatherdeal-Idempotent: true\r\nContent-Length: " +
-        std::to_string(prompt.size()) + "\r\n\r\n" + prompt,
-      false);
+    const std::string received = entry.GenerateRaw(i);
     INFO(received);
     if (received.find("a b ") == std::string::npos) {
       CHECK(received.find("\r\n0\r\n\r\n") == std::string::npos);
@@ -346,13 +354,7 @@
   entry.SetUpstreams(upstreams, false, "model", software);
   bool isResumed = false;
   for (int i = 0; i < 6; ++i) {
-    const std::string prompt = "{\"prompt\":\"" + std::to_string(i) + "\"}";
-    const std::string received = entry.m_loopback.SendRaw(
-      "POST /apps/model/v1/generate HTTP/1.1\r\nHost: h\r\n"
-      "Connection: close\r\n"
-      "X-Heatherdeal-Idempotent: true\r\nContent-Length: " +
-        std::to_string(prompt.size()) + "\r\n\r\n" + prompt,
-      false);
+    const std::string received = entry.GenerateRaw(i);
     const size_t begin = received.find("a b ");
     isResumed =
       isResumed || (begin != std::string::npos &&
