--- a/review/standin/system.hpp
+++ b/review/standin/system.hpp
@@ -298,11 +298,32 @@
     int m_eventMs = 16;
     int m_events = 25;
     int m_plainMs = 25;
+    int m_loadMs = 900;
+    /// The share of answers that have no length and end with their channel.
+    double m_unframedShare = 0.0;
+    std::string m_id; // empty: made from the address
   };
 
   Worker(Store& aStore, Record& aRecord, Spec aSpec)
     : m_store(aStore), m_record(aRecord), m_spec(std::move(aSpec)), m_born(UnixMs()) {
-    m_id = "i-" + m_spec.m_service + "-" + m_spec.m_address.substr(m_spec.m_address.rfind('.') + 1);
+    m_id = m_spec.m_id.empty() ? "i-" + m_spec.m_service + "-" + m_spec.m_address.substr(m_spec.m_address.rfind('.') + 1) : m_spec.m_id;
+  }
+  /// The entry of a worker in the store.
+  static json::object MakeEntry(const Spec& aSpec, int64_t aBorn, uint64_t aVersion) {
+    json::object entry{ { "service", aSpec.m_service },
+                        { "addr", aSpec.m_address + ":" + std::to_string(aSpec.m_port) },
+                        { "zone", aSpec.m_zone },
+                        { "version", "1.0" },
+                        { "slots", aSpec.m_slots },
+                        { "state", "ready" },
+                        { "coldLeftMs", 0 },
+                        { "sequence", 0 },
+                        { "born", aBorn } };
+    if (!aSpec.m_model.empty()) {
+      entry["stage"] = "both";
+      entry["models"] = json::array{ json::object{ { "name", aSpec.m_model }, { "version", aVersion }, { "adapters", json::array() } } };
+    }
+    return entry;
   }
   bool Start() {
     const bool listens = m_server.Listen(m_spec.m_address, m_spec.m_port, [this](const Message& aRequest, Socket& aSocket) {
@@ -323,27 +344,17 @@
     }).detach();
   }
   const std::string& Id() const { return m_id; }
+  uint64_t Version() const { return m_version; }
   int Running() const { return m_running; }
+  /// The newest version that was named; orders for a newer one get 400.
+  static inline std::atomic<uint64_t> m_newest{ 1 };
   /// Called when a request begins to run, and when it has reached the worker.
   std::function<void(const Worker&, const std::string& aRequestId, const Message&)> m_onRun;
   std::function<void(const Worker&, const std::string& aRequestId)> m_onEnd;
 
 private:
   void Register() {
-    json::object entry{ { "service", m_spec.m_service },
-                        { "addr", m_spec.m_address + ":" + std::to_string(m_spec.m_port) },
-                        { "zone", m_spec.m_zone },
-                        { "version", "1.0" },
-                        { "slots", m_spec.m_slots },
-                        { "state", "ready" },
-                        { "coldLeftMs", 0 },
-                        { "sequence", 0 },
-                        { "born", m_born } };
-    if (!m_spec.m_model.empty()) {
-      entry["stage"] = "both";
-      entry["models"] = json::array{ { { "name", m_spec.m_model }, { "version", 1 }, { "adapters", json::array() } } };
-    }
-    m_store.Put("servers", m_id, entry);
+    m_store.Put("servers", m_id, MakeEntry(m_spec, m_born, m_version));
   }
   bool Handle(const Message& aRequest, Socket& aSocket) {
     const std::string id = aRequest.Header("Request-Id");
@@ -360,11 +371,14 @@
       response.m_headers = { { "Content-Type", "application/json" } };
       response.m_body = json::serialize(json::value{
         { "stage", "both" },
-        { "models", json::array{ { { "name", m_spec.m_model }, { "version", 1 }, { "adapters", json::array() } } } },
-        { "busy", false }, { "sequence", 0 }, { "waiting", 0 }, { "running", m_running.load() },
+        { "models", json::array{ json::object{ { "name", m_spec.m_model }, { "version", m_version.load() }, { "adapters", json::array() } } } },
+        { "busy", m_isLoading.load() }, { "sequence", m_sequence.load() }, { "waiting", 0 }, { "running", m_running.load() },
         { "kvUsed", 0 }, { "kvTotal", 90000 }, { "handles", 0 }, { "born", m_born } });
       return aSocket.Write(Format(response));
     }
+    if (aRequest.Path() == "/heatherdeal/order") {
+      return aSocket.Write(Format(TakeOrder(aRequest)));
+    }
     if (aRequest.Path() == "/health") {
       response.m_status = 200;
       response.m_headers = { { "Instance-Id", m_id } };
@@ -375,7 +389,8 @@
       response.m_headers.push_back({ "Not-Run", "1" });
       return aSocket.Write(Format(response));
     }
-    if (m_waiting + m_running >= m_spec.m_slots + m_spec.m_queue) {
+    // Requests that an order concerns and that have not started are rejected.
+    if (m_isLoading || m_waiting + m_running >= m_spec.m_slots + m_spec.m_queue) {
       response.m_status = 503;
       response.m_headers.push_back({ "Not-Run", "1" });
       return aSocket.Write(Format(response));
@@ -390,7 +405,7 @@
     }
     m_running += 1;
     m_waiting -= 1;
-    m_record.Line("worker " + m_id + " begins to run " + id);
+    m_record.Line("worker " + m_id + " begins to run " + id + (aRequest.Header("Last-Event-Id").empty() ? "" : " after event " + aRequest.Header("Last-Event-Id")));
     if (m_onRun) {
       m_onRun(*this, id, aRequest);
     }
@@ -402,6 +417,39 @@
     }
     return keep;
   }
+  /// An order to load a version, in the mode "retain": runs go on under it.
+  Message TakeOrder(const Message& aRequest) {
+    const std::scoped_lock lock(m_orderMutex);
+    Message response;
+    response.m_headers = { { "Content-Type", "application/json" } };
+    response.m_body = "{}";
+    const json::object order = json::parse(aRequest.m_body).as_object();
+    const auto fence = order.at("fence").to_number<uint64_t>();
+    const auto version = order.at("version").to_number<uint64_t>();
+    response.m_status = 202;
+    if (order.at("op").as_string() != "version" || version > m_newest) {
+      response.m_status = 400;
+    } else if (fence < m_fence) {
+      response.m_status = 412;
+    } else if (!m_isLoading && version == m_version) {
+      m_fence = fence;
+      response.m_status = 200;
+    } else if (m_isLoading || (order.contains("expected") && order.at("expected").to_number<uint64_t>() != m_sequence)) {
+      response.m_status = 409;
+    } else {
+      m_fence = fence;
+      m_sequence += 1;
+      m_isLoading = true;
+      m_record.Line("worker " + m_id + " loads version " + std::to_string(version));
+      std::thread([this, version] {
+        SleepMs(m_spec.m_loadMs);
+        m_version = version;
+        m_isLoading = false;
+        Register();
+      }).detach();
+    }
+    return response;
+  }
   bool RunPlain(const std::string& aId, Message& aResponse, Socket& aSocket) {
     SleepMs(m_spec.m_plainMs);
     if (m_isGone) {
@@ -417,26 +465,49 @@
     aResponse.m_status = 200;
     aResponse.m_headers.push_back({ "Content-Type", "text/event-stream" });
     aResponse.m_headers.push_back({ "Server-Stamp", "stamp-" + aId });
-    aResponse.m_headers.push_back({ "Weight-Versions", "1" });
-    aResponse.m_headers.push_back({ "Transfer-Encoding", "chunked" });
+    uint64_t version = m_version;
+    aResponse.m_headers.push_back({ "Weight-Versions", std::to_string(version) });
+    const bool isUnframed = m_spec.m_unframedShare > 0 && std::uniform_real_distribution<>(0, 1)(m_random) < m_spec.m_unframedShare;
+    aResponse.m_headers.push_back(isUnframed ? std::pair<std::string, std::string>("Connection", "close")
+                                             : std::pair<std::string, std::string>("Transfer-Encoding", "chunked"));
     if (!aSocket.Write(Format(aResponse, false))) {
       return false;
     }
     for (int event = std::atoi(aRequest.Header("Last-Event-Id").c_str()) + 1; event <= m_spec.m_events; ++event) {
-      SleepMs(m_spec.m_eventMs);
+      SleepMs(m_spec.m_eventMs - m_spec.m_eventMs / 4);
       if (m_isGone || aSocket.IsClosedByPeer()) {
         return false;
       }
-      const std::string text = "id: " + std::to_string(event) + "\ndata: " + aId + "." + std::to_string(event) + "\n\n";
-      char size[16];
-      std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-      if (!aSocket.Write(size + text + "\r\n")) {
+      while (m_isLoading && !m_isGone && !aSocket.IsClosedByPeer()) {
+        SleepMs(5);
+      }
+      std::string head = "id: " + std::to_string(event) + "\n";
+      if (m_version != version) {
+        version = m_version;
+        head = "weight-versions: " + std::to_string(version) + "\n" + head;
+      }
+      // The tokens of an event follow its first lines.
+      const std::string data = "data: " + aId + "." + std::to_string(event) + "\n\n";
+      if (!WritePart(aSocket, head, isUnframed)) {
+        return false;
+      }
+      SleepMs(m_spec.m_eventMs / 4);
+      if (!WritePart(aSocket, data, isUnframed)) {
         return false;
       }
     }
+    if (isUnframed) {
+      return false; // the end of the channel ends the answer
+    }
     return aSocket.Write("0\r\n\r\n");
   }
 
+  static bool WritePart(Socket& aSocket, const std::string& aText, bool aIsUnframed) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", aText.size());
+    return aSocket.Write(aIsUnframed ? aText : size + aText + "\r\n");
+  }
+
   Store& m_store;
   Record& m_record;
   Spec m_spec;
@@ -445,6 +516,12 @@
   std::atomic<int> m_running{ 0 };
   std::atomic<int> m_waiting{ 0 };
   std::atomic<bool> m_isGone{ false };
+  std::mt19937 m_random{ std::random_device{}() };
+  std::atomic<uint64_t> m_version{ 1 };
+  std::atomic<uint64_t> m_sequence{ 0 };
+  std::atomic<bool> m_isLoading{ false };
+  std::mutex m_orderMutex;
+  uint64_t m_fence = 0;
   HttpServer m_server;
 };
 
