--- a/review/standin/case_late.cpp
+++ b/review/standin/case_late.cpp
@@ -48,7 +48,7 @@
   const auto configuration = MakeConfiguration({ MakeRolloutRoute("reply"), MakeRoute("score", "/score/", "safe", "desk") },
                                                { MakeModelService("reply", "m0"), { { "name", "desk" }, { "healthPath", "/health" }, { "maxConns", 110 } } });
   if (!system.Start(configuration)) {
-    return 2;
+    system.Finish(2);
   }
   std::set<std::string> ran;
   std::vector<std::unique_ptr<Worker>> workers;
@@ -65,7 +65,7 @@
       ran.insert(aId);
     };
     if (!workers.back()->Start()) {
-      return 2;
+      system.Finish(2);
     }
   }
   SleepMs(5000);
@@ -134,5 +134,5 @@
   }
   record.Line(std::to_string(batches.size()) + " batches, " + std::to_string(accepted) + " accepted (" + std::to_string(acceptedRan) + " of these ran whole), " + std::to_string(refused) + " refused at every attempt");
   record.Line(isBroken ? "result: broken" : accepted > 0 && acceptedRan == accepted ? "result: held" : "result: could not run");
-  return isBroken ? 1 : accepted > 0 && acceptedRan == accepted ? 0 : 2;
+  system.Finish(isBroken ? 1 : accepted > 0 && acceptedRan == accepted ? 0 : 2);
 }
--- a/review/standin/case_policy.cpp
+++ b/review/standin/case_policy.cpp
@@ -27,7 +27,7 @@
   const auto configuration = MakeConfiguration({ train, MakeRoute("score", "/score/", "safe", "desk") },
                                                { MakeModelService("reply", "m0"), { { "name", "desk" }, { "healthPath", "/health" }, { "maxConns", 110 } } });
   if (!system.Start(configuration)) {
-    return 2;
+    system.Finish(2);
   }
   std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 0; i < 12; ++i) {
@@ -41,7 +41,7 @@
     spec.m_eventMs = kEventMs;
     workers.push_back(std::make_unique<Worker>(system.m_store, record, spec));
     if (!workers.back()->Start()) {
-      return 2;
+      system.Finish(2);
     }
   }
   SleepMs(5000);
@@ -106,5 +106,5 @@
   }
   record.Line(std::to_string(results) + " results, " + std::to_string(completed) + " completed, " + std::to_string(broken) + " with several versions");
   record.Line(broken > 0 ? "result: broken" : completed > 0 ? "result: held" : "result: could not run");
-  return broken > 0 ? 1 : completed > 0 ? 0 : 2;
+  system.Finish(broken > 0 ? 1 : completed > 0 ? 0 : 2);
 }
--- a/review/standin/case_split.cpp
+++ b/review/standin/case_split.cpp
@@ -32,7 +32,7 @@
                                                { MakeModelService("reply-a", "m0"), MakeModelService("reply-b", "m0"), { { "name", "desk" }, { "healthPath", "/health" }, { "maxConns", 110 } } });
   if (!system.Start(configuration)) {
     record.Line("the system did not start");
-    return 2;
+    system.Finish(2);
   }
   // When each item was last at a worker, and since when none was over half full.
   std::mutex mutex;
@@ -68,7 +68,7 @@
     started = started && add("desk", "");
   }
   if (!started) {
-    return 2;
+    system.Finish(2);
   }
   SleepMs(5000);
 
@@ -134,5 +134,5 @@
     playStep(step, true);
   }
   record.Line(isBroken ? "result: broken" : couldRun ? "result: held" : "result: could not run");
-  return isBroken ? 1 : couldRun ? 0 : 2;
+  system.Finish(isBroken ? 1 : couldRun ? 0 : 2);
 }
