--- a/review/standin/case_late.cpp
+++ b/review/standin/case_late.cpp
@@ -1,7 +1,7 @@
-// The answers of the platform's store are lost for a while: a part of its writes
-// is not answered and done 1 to 6 s later; then it is down and answers 503.
-// Rule: REFUSED (an item runs whose
-// batch submission was answered 429 or 503 at every requester attempt).
+// The answers of the platform's store are lost for a while: a part of its
+// writes is not answered and done 1 to 6 s later; then it is down and answers
+// 503. Rule: REFUSED (an item runs whose batch submission was answered 429 or
+// 503 at every requester attempt).
 #include <boost/json/src.hpp>
 
 #include "trainer.hpp"
@@ -35,18 +35,28 @@
   std::atomic<bool> isLosing{ false };
   std::mutex mutex;
   std::mt19937_64 fateRandom(std::random_device{}());
-  system.m_store.m_fate = [&](const std::string& aKind, const std::string& aName, const Message& aRequest) {
+  system.m_store.m_fate = [&](const std::string& aKind,
+                              const std::string& aName,
+                              const Message& aRequest) {
     Store::Fate fate;
     const std::scoped_lock lock(mutex);
-    if (isLosing && std::uniform_real_distribution<>(0, 1)(fateRandom) < kLostShare) {
+    if (isLosing &&
+        std::uniform_real_distribution<>(0, 1)(fateRandom) < kLostShare) {
       fate.m_isAnswered = false;
       fate.m_lateMs = 1000 + static_cast<int>(fateRandom() % 5000);
-      record.Line("store: " + aRequest.m_method + " of " + aKind + " " + aName + " is not answered, and done in " + std::to_string(fate.m_lateMs) + " ms");
+      record.Line("store: " + aRequest.m_method + " of " + aKind + " " + aName +
+                  " is not answered, and done in " +
+                  std::to_string(fate.m_lateMs) + " ms");
     }
     return fate;
   };
-  const auto configuration = MakeConfiguration({ MakeRolloutRoute("reply"), MakeRoute("score", "/score/", "safe", "desk") },
-                                               { MakeModelService("reply", "m0"), { { "name", "desk" }, { "healthPath", "/health" }, { "maxConns", 110 } } });
+  const auto configuration =
+    MakeConfiguration({ MakeRolloutRoute("reply"),
+                        MakeRoute("score", "/score/", "safe", "desk") },
+                      { MakeModelService("reply", "m0"),
+                        { { "name", "desk" },
+                          { "healthPath", "/health" },
+                          { "maxConns", 110 } } });
   if (!system.Start(configuration)) {
     system.Finish(2);
   }
@@ -60,10 +70,11 @@
     spec.m_port = system.m_ports.m_worker;
     spec.m_zone = "z" + std::to_string(1 + i % 3);
     workers.push_back(std::make_unique<Worker>(system.m_store, record, spec));
-    workers.back()->m_onRun = [&](const Worker&, const std::string& aId, const Message&) {
-      const std::scoped_lock lock(mutex);
-      ran.insert(aId);
-    };
+    workers.back()->m_onRun =
+      [&](const Worker&, const std::string& aId, const Message&) {
+        const std::scoped_lock lock(mutex);
+        ran.insert(aId);
+      };
     if (!workers.back()->Start()) {
       system.Finish(2);
     }
@@ -118,8 +129,12 @@
   bool isBroken = false;
   const std::scoped_lock lock(mutex);
   for (const Batch& batch : batches) {
-    const size_t begun = static_cast<size_t>(std::count_if(batch.m_items.begin(), batch.m_items.end(), [&](const std::string& aId) { return ran.contains(aId); }));
-    const bool isRefused = std::all_of(batch.m_answers.begin(), batch.m_answers.end(), IsPromise);
+    const size_t begun = static_cast<size_t>(std::count_if(
+      batch.m_items.begin(), batch.m_items.end(), [&](const std::string& aId) {
+        return ran.contains(aId);
+      }));
+    const bool isRefused =
+      std::all_of(batch.m_answers.begin(), batch.m_answers.end(), IsPromise);
     accepted += batch.m_isAccepted;
     acceptedRan += batch.m_isAccepted && begun == batch.m_items.size();
     refused += isRefused;
@@ -128,11 +143,19 @@
       for (const int answer : batch.m_answers) {
         answers += " " + std::to_string(answer);
       }
-      record.Line("BROKEN REFUSED: batch " + batch.m_id + " was answered" + answers + " and " + std::to_string(begun) + " of its " + std::to_string(batch.m_items.size()) + " items ran");
+      record.Line("BROKEN REFUSED: batch " + batch.m_id + " was answered" +
+                  answers + " and " + std::to_string(begun) + " of its " +
+                  std::to_string(batch.m_items.size()) + " items ran");
       isBroken = true;
     }
   }
-  record.Line(std::to_string(batches.size()) + " batches, " + std::to_string(accepted) + " accepted (" + std::to_string(acceptedRan) + " of these ran whole), " + std::to_string(refused) + " refused at every attempt");
-  record.Line(isBroken ? "result: broken" : accepted > 0 && acceptedRan == accepted ? "result: held" : "result: could not run");
+  record.Line(std::to_string(batches.size()) + " batches, " +
+              std::to_string(accepted) + " accepted (" +
+              std::to_string(acceptedRan) + " of these ran whole), " +
+              std::to_string(refused) + " refused at every attempt");
+  record.Line(isBroken ? "result: broken"
+              : accepted > 0 && acceptedRan == accepted
+                ? "result: held"
+                : "result: could not run");
   system.Finish(isBroken ? 1 : accepted > 0 && acceptedRan == accepted ? 0 : 2);
 }
--- a/review/standin/case_policy.cpp
+++ b/review/standin/case_policy.cpp
@@ -1,6 +1,6 @@
-// A rollout host starts while the store is down, and loads its batches before the
-// configuration has reached it. Rule: VERSION (several versions in a result of a
-// singleVersion route).
+// A rollout host starts while the store is down, and loads its batches before
+// the configuration has reached it. Rule: VERSION (several versions in a result
+// of a singleVersion route).
 #include <boost/json/src.hpp>
 
 #include "trainer.hpp"
@@ -24,8 +24,12 @@
   const bool hasTrouble = HasTrouble();
   json::object train = MakeRolloutRoute("reply");
   train["singleVersion"] = true;
-  const auto configuration = MakeConfiguration({ train, MakeRoute("score", "/score/", "safe", "desk") },
-                                               { MakeModelService("reply", "m0"), { { "name", "desk" }, { "healthPath", "/health" }, { "maxConns", 110 } } });
+  const auto configuration =
+    MakeConfiguration({ train, MakeRoute("score", "/score/", "safe", "desk") },
+                      { MakeModelService("reply", "m0"),
+                        { { "name", "desk" },
+                          { "healthPath", "/health" },
+                          { "maxConns", 110 } } });
   if (!system.Start(configuration)) {
     system.Finish(2);
   }
@@ -55,8 +59,13 @@
     for (const json::object& result : aBatch.m_results) {
       results += 1;
       completed += result.at("state").as_string() == "completed";
-      if (result.at("state").as_string() == "completed" && result.at("versions").as_array().size() > 1) {
-        if (broken < 40) record.Line("BROKEN VERSION: item " + std::string(result.at("id").as_string()) + " of batch " + aBatch.m_id + " has versions " + json::serialize(result.at("versions")));
+      if (result.at("state").as_string() == "completed" &&
+          result.at("versions").as_array().size() > 1) {
+        if (broken < 40)
+          record.Line("BROKEN VERSION: item " +
+                      std::string(result.at("id").as_string()) + " of batch " +
+                      aBatch.m_id + " has versions " +
+                      json::serialize(result.at("versions")));
         broken += 1;
       }
     }
@@ -90,12 +99,16 @@
       SleepMs(2000);
       version += 1;
       Worker::m_newest = version;
-      system.m_store.Put("versions", "m0", json::object{ { "model", "m0" }, { "version", version } });
+      system.m_store.Put(
+        "versions",
+        "m0",
+        json::object{ { "model", "m0" }, { "version", version } });
       record.Line("version " + std::to_string(version) + " is named");
     }
     const double until = record.Now() + 8;
     for (Batch& batch : batches) {
-      while (record.Now() < until && batch.m_results.size() < batch.m_items.size()) {
+      while (record.Now() < until &&
+             batch.m_results.size() < batch.m_items.size()) {
         ReadOn(system, random, batch, 300);
         SleepMs(50);
       }
@@ -104,7 +117,11 @@
     }
     SleepMs(1000);
   }
-  record.Line(std::to_string(results) + " results, " + std::to_string(completed) + " completed, " + std::to_string(broken) + " with several versions");
-  record.Line(broken > 0 ? "result: broken" : completed > 0 ? "result: held" : "result: could not run");
+  record.Line(std::to_string(results) + " results, " +
+              std::to_string(completed) + " completed, " +
+              std::to_string(broken) + " with several versions");
+  record.Line(broken > 0      ? "result: broken"
+              : completed > 0 ? "result: held"
+                              : "result: could not run");
   system.Finish(broken > 0 ? 1 : completed > 0 ? 0 : 2);
 }
--- a/review/standin/case_split.cpp
+++ b/review/standin/case_split.cpp
@@ -1,6 +1,6 @@
 // A route of a trainer is split over two services of model workers, half and
-// half. The only worker of one service, one of six, is lost for good. Rule: LOST
-// (a step runs out of time while items are at no worker).
+// half. The only worker of one service, one of six, is lost for good. Rule:
+// LOST (a step runs out of time while items are at no worker).
 #include <boost/json/src.hpp>
 
 #include "trainer.hpp"
@@ -27,14 +27,22 @@
 
   json::object train = MakeRolloutRoute("reply-a");
   train.erase("service");
-  train["split"] = json::array{ { { "service", "reply-a" }, { "weight", 50 } }, { { "service", "reply-b" }, { "weight", 50 } } };
-  const auto configuration = MakeConfiguration({ train, MakeRoute("score", "/score/", "safe", "desk") },
-                                               { MakeModelService("reply-a", "m0"), MakeModelService("reply-b", "m0"), { { "name", "desk" }, { "healthPath", "/health" }, { "maxConns", 110 } } });
+  train["split"] =
+    json::array{ { { "service", "reply-a" }, { "weight", 50 } },
+                 { { "service", "reply-b" }, { "weight", 50 } } };
+  const auto configuration =
+    MakeConfiguration({ train, MakeRoute("score", "/score/", "safe", "desk") },
+                      { MakeModelService("reply-a", "m0"),
+                        MakeModelService("reply-b", "m0"),
+                        { { "name", "desk" },
+                          { "healthPath", "/health" },
+                          { "maxConns", 110 } } });
   if (!system.Start(configuration)) {
     record.Line("the system did not start");
     system.Finish(2);
   }
-  // When each item was last at a worker, and since when none was over half full.
+  // When each item was last at a worker, and since when none was over half
+  // full.
   std::mutex mutex;
   std::map<std::string, double> lastRun;
   std::set<std::string> finished;
@@ -47,10 +55,11 @@
     spec.m_port = system.m_ports.m_worker;
     spec.m_zone = "z" + std::to_string(1 + workers.size() % 3);
     workers.push_back(std::make_unique<Worker>(system.m_store, record, spec));
-    workers.back()->m_onRun = [&](const Worker&, const std::string& aId, const Message&) {
-      const std::scoped_lock lock(mutex);
-      lastRun[aId] = record.Now();
-    };
+    workers.back()->m_onRun =
+      [&](const Worker&, const std::string& aId, const Message&) {
+        const std::scoped_lock lock(mutex);
+        lastRun[aId] = record.Now();
+      };
     workers.back()->m_onEnd = [&](const Worker&, const std::string& aId) {
       const std::scoped_lock lock(mutex);
       finished.insert(aId);
@@ -79,7 +88,8 @@
     Submit(system, random, batch, 2);
     int mostRunning = 0;
     double idleSince = record.Now();
-    while (record.Now() < batch.m_sentAt + kStepLimitS && CountWholeGroups(batch) < batch.m_wanted) {
+    while (record.Now() < batch.m_sentAt + kStepLimitS &&
+           CountWholeGroups(batch) < batch.m_wanted) {
       const double before = record.Now();
       ReadOn(system, random, batch, 400);
       int running = 0;
@@ -102,18 +112,26 @@
       const std::scoped_lock lock(mutex);
       for (const std::string& item : batch.m_items) {
         begun += lastRun.contains(item);
-        const double since = lastRun.contains(item) ? lastRun[item] : batch.m_sentAt;
+        const double since =
+          lastRun.contains(item) ? lastRun[item] : batch.m_sentAt;
         atNoWorker += !finished.contains(item) && now - since >= kIdleS;
       }
     }
     End(system, random, batch, 2);
-    record.Line("step " + std::to_string(aStep) + ": " + std::to_string(whole) + " of " + std::to_string(batch.m_wanted) +
-                " groups in " + std::to_string(now - batch.m_sentAt) + " s; items begun " + std::to_string(begun) +
-                ", unfinished and at no worker for 5 s " + std::to_string(atNoWorker) + ", most running at once in reply-a " +
-                std::to_string(mostRunning) + " of " + std::to_string(kFirstWorkers * 8) + ", under half full for " + std::to_string(now - idleSince) + " s");
+    record.Line(
+      "step " + std::to_string(aStep) + ": " + std::to_string(whole) + " of " +
+      std::to_string(batch.m_wanted) + " groups in " +
+      std::to_string(now - batch.m_sentAt) + " s; items begun " +
+      std::to_string(begun) + ", unfinished and at no worker for 5 s " +
+      std::to_string(atNoWorker) + ", most running at once in reply-a " +
+      std::to_string(mostRunning) + " of " + std::to_string(kFirstWorkers * 8) +
+      ", under half full for " + std::to_string(now - idleSince) + " s");
     const bool ranOut = whole < batch.m_wanted;
-    if (aIsJudged && ranOut && begun > 0 && atNoWorker > 0 && now - idleSince >= kIdleS) {
-      record.Line("BROKEN LOST: step " + std::to_string(aStep) + " ran out of time while " + std::to_string(atNoWorker) + " items were at no worker");
+    if (aIsJudged && ranOut && begun > 0 && atNoWorker > 0 &&
+        now - idleSince >= kIdleS) {
+      record.Line("BROKEN LOST: step " + std::to_string(aStep) +
+                  " ran out of time while " + std::to_string(atNoWorker) +
+                  " items were at no worker");
       isBroken = true;
     }
     if (!aIsJudged && ranOut) {
@@ -133,6 +151,8 @@
   for (int step = 2; step < 5; ++step) {
     playStep(step, true);
   }
-  record.Line(isBroken ? "result: broken" : couldRun ? "result: held" : "result: could not run");
+  record.Line(isBroken   ? "result: broken"
+              : couldRun ? "result: held"
+                         : "result: could not run");
   system.Finish(isBroken ? 1 : couldRun ? 0 : 2);
 }
--- a/review/standin/system.hpp
+++ b/review/standin/system.hpp
@@ -30,7 +30,9 @@
 inline int64_t
 UnixMs()
 {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
 }
 
 inline void
@@ -40,11 +42,20 @@
 }
 
 /// Writes what was sent, answered and run to record.txt.
-class Record {
+class Record
+{
 public:
-  explicit Record(const std::string& aFile) : m_file(aFile), m_start(Clock::now()) {}
-  double Now() const { return std::chrono::duration<double>(Clock::now() - m_start).count(); }
-  void Line(const std::string& aText) {
+  explicit Record(const std::string& aFile)
+    : m_file(aFile)
+    , m_start(Clock::now())
+  {
+  }
+  double Now() const
+  {
+    return std::chrono::duration<double>(Clock::now() - m_start).count();
+  }
+  void Line(const std::string& aText)
+  {
     const std::scoped_lock lock(m_mutex);
     char at[32];
     std::snprintf(at, sizeof at, "%9.3f  ", Now());
@@ -60,33 +71,48 @@
 // ---------------------------------------------------------------- the store
 
 /// The platform's store. Answers after 4 ms. It keeps its whole history.
-class Store {
+class Store
+{
 public:
   /// What happens to a write call: it is done and answered; or it is not
   /// answered, and done after the delay if its condition still holds.
-  struct Fate {
+  struct Fate
+  {
     bool m_isAnswered = true;
     int m_lateMs = 0;
   };
   /// Decides on each write; set before the start.
-  std::function<Fate(const std::string& aKind, const std::string& aName, const Message&)> m_fate;
+  std::function<
+    Fate(const std::string& aKind, const std::string& aName, const Message&)>
+    m_fate;
   std::atomic<bool> m_isDown{ false }; // answers 503
-  std::function<void(const std::string& aKind, const std::string& aName, const json::object&)> m_onWritten;
-
-  bool Start(const std::string& aAddress, uint16_t aPort) {
-    return m_server.Listen(aAddress, aPort, [this](const Message& aRequest, Socket& aSocket) {
-      return Handle(aRequest, aSocket);
-    });
-  }
-  uint64_t Put(const std::string& aKind, const std::string& aName, json::value aSpec) {
+  std::function<void(const std::string& aKind,
+                     const std::string& aName,
+                     const json::object&)>
+    m_onWritten;
+
+  bool Start(const std::string& aAddress, uint16_t aPort)
+  {
+    return m_server.Listen(
+      aAddress, aPort, [this](const Message& aRequest, Socket& aSocket) {
+        return Handle(aRequest, aSocket);
+      });
+  }
+  uint64_t Put(const std::string& aKind,
+               const std::string& aName,
+               json::value aSpec)
+  {
     const std::scoped_lock lock(m_mutex);
     return Change(aKind, aName, &aSpec, nullptr);
   }
-  void Remove(const std::string& aKind, const std::string& aName) {
+  void Remove(const std::string& aKind, const std::string& aName)
+  {
     const std::scoped_lock lock(m_mutex);
     Delete(aKind, aName);
   }
-  std::optional<json::object> Get(const std::string& aKind, const std::string& aName) {
+  std::optional<json::object> Get(const std::string& aKind,
+                                  const std::string& aName)
+  {
     const std::scoped_lock lock(m_mutex);
     const auto found = m_objects.find({ aKind, aName });
     if (found == m_objects.end()) {
@@ -94,7 +120,8 @@
     }
     return ToJson(aName, found->second);
   }
-  std::vector<std::string> Names(const std::string& aKind) {
+  std::vector<std::string> Names(const std::string& aKind)
+  {
     const std::scoped_lock lock(m_mutex);
     std::vector<std::string> names;
     for (const auto& [key, object] : m_objects) {
@@ -107,26 +134,38 @@
 
 private:
   using Key = std::pair<std::string, std::string>;
-  struct Object {
+  struct Object
+  {
     uint64_t m_revision = 0;
     json::value m_spec;
     json::value m_status;
   };
-  struct Event {
+  struct Event
+  {
     uint64_t m_revision;
     std::string m_kind;
     json::object m_object;
     bool m_deleted;
   };
 
-  static json::object ToJson(const std::string& aName, const Object& aObject) {
-    return { { "metadata", { { "name", aName }, { "revision", aObject.m_revision }, { "finalizers", json::array() }, { "deleting", false } } },
+  static json::object ToJson(const std::string& aName, const Object& aObject)
+  {
+    return { { "metadata",
+               { { "name", aName },
+                 { "revision", aObject.m_revision },
+                 { "finalizers", json::array() },
+                 { "deleting", false } } },
              { "spec", aObject.m_spec },
              { "status", aObject.m_status } };
   }
-  uint64_t Change(const std::string& aKind, const std::string& aName, const json::value* aSpec, const json::value* aStatus) {
+  uint64_t Change(const std::string& aKind,
+                  const std::string& aName,
+                  const json::value* aSpec,
+                  const json::value* aStatus)
+  {
     Object& object = m_objects[{ aKind, aName }];
-    const bool isSame = object.m_revision != 0 && (aSpec == nullptr || *aSpec == object.m_spec) &&
+    const bool isSame = object.m_revision != 0 &&
+                        (aSpec == nullptr || *aSpec == object.m_spec) &&
                         (aStatus == nullptr || *aStatus == object.m_status);
     if (isSame) {
       return object.m_revision;
@@ -142,7 +181,8 @@
     m_changed.notify_all();
     return m_revision;
   }
-  bool Delete(const std::string& aKind, const std::string& aName) {
+  bool Delete(const std::string& aKind, const std::string& aName)
+  {
     const auto found = m_objects.find({ aKind, aName });
     if (found == m_objects.end()) {
       return false;
@@ -155,43 +195,57 @@
     m_changed.notify_all();
     return true;
   }
-  static Message Json(int aStatus, const json::value& aBody) {
+  static Message Json(int aStatus, const json::value& aBody)
+  {
     Message response;
     response.m_status = aStatus;
     response.m_headers = { { "Content-Type", "application/json" } };
     response.m_body = json::serialize(aBody);
     return response;
   }
-  Message Apply(const Message& aRequest, const std::string& aKind, std::string aName, bool aIsStatus) {
+  Message Apply(const Message& aRequest,
+                const std::string& aKind,
+                std::string aName,
+                bool aIsStatus)
+  {
     const std::scoped_lock lock(m_mutex);
     if (aRequest.m_method == "DELETE") {
-      return Delete(aKind, aName) ? Json(200, json::object()) : Json(404, json::object());
+      return Delete(aKind, aName) ? Json(200, json::object())
+                                  : Json(404, json::object());
     }
     const json::object body = json::parse(aRequest.m_body).as_object();
-    const json::object metadata = body.contains("metadata") ? body.at("metadata").as_object() : json::object();
+    const json::object metadata = body.contains("metadata")
+                                    ? body.at("metadata").as_object()
+                                    : json::object();
     const bool isCreation = aRequest.m_method == "POST";
     if (isCreation) {
       aName = std::string(metadata.at("name").as_string());
     }
     const auto found = m_objects.find({ aKind, aName });
     const bool exists = found != m_objects.end();
-    if (exists && (isCreation || (metadata.contains("revision") &&
-                                  metadata.at("revision").to_number<uint64_t>() != found->second.m_revision))) {
+    if (exists &&
+        (isCreation || (metadata.contains("revision") &&
+                        metadata.at("revision").to_number<uint64_t>() !=
+                          found->second.m_revision))) {
       return Json(409, ToJson(aName, found->second));
     }
     if (!exists && !isCreation) {
       return Json(404, json::object());
     }
-    const json::value spec = body.contains("spec") ? body.at("spec") : json::value();
-    const json::value status = body.contains("status") ? body.at("status") : json::value();
-    Change(aKind, aName, aIsStatus ? nullptr : &spec, aIsStatus ? &status : nullptr);
+    const json::value spec =
+      body.contains("spec") ? body.at("spec") : json::value();
+    const json::value status =
+      body.contains("status") ? body.at("status") : json::value();
+    Change(
+      aKind, aName, aIsStatus ? nullptr : &spec, aIsStatus ? &status : nullptr);
     const json::object written = ToJson(aName, m_objects[{ aKind, aName }]);
     if (m_onWritten) {
       m_onWritten(aKind, aName, written);
     }
     return Json(200, written);
   }
-  Message List(const Message& aRequest, const std::string& aKind) {
+  Message List(const Message& aRequest, const std::string& aKind)
+  {
     const std::scoped_lock lock(m_mutex);
     const std::string after = aRequest.Query("after");
     json::array items;
@@ -209,36 +263,56 @@
       }
       items.push_back(std::move(item));
     }
-    return Json(200, { { "items", std::move(items) }, { "truncated", truncated }, { "asOf", m_revision } });
-  }
-  Message Watch(const Message& aRequest, const std::string& aKind, Socket& aSocket) {
-    const uint64_t after = std::strtoull(aRequest.Query("watch").c_str(), nullptr, 10);
-    const auto until = Clock::now() + milliseconds(std::min(30'000, std::atoi(aRequest.Query("waitMs").c_str())));
+    return Json(200,
+                { { "items", std::move(items) },
+                  { "truncated", truncated },
+                  { "asOf", m_revision } });
+  }
+  Message Watch(const Message& aRequest,
+                const std::string& aKind,
+                Socket& aSocket)
+  {
+    const uint64_t after =
+      std::strtoull(aRequest.Query("watch").c_str(), nullptr, 10);
+    const auto until =
+      Clock::now() + milliseconds(std::min(
+                       30'000, std::atoi(aRequest.Query("waitMs").c_str())));
     std::unique_lock lock(m_mutex);
     for (;;) {
       json::array events;
-      for (auto at = m_events.rbegin(); at != m_events.rend() && at->m_revision > after; ++at) {
+      for (auto at = m_events.rbegin();
+           at != m_events.rend() && at->m_revision > after;
+           ++at) {
         if (at->m_kind == aKind) {
-          events.insert(events.begin(), json::value(json::object{ { "object", at->m_object }, { "deleted", at->m_deleted } }));
+          events.insert(
+            events.begin(),
+            json::value(json::object{ { "object", at->m_object },
+                                      { "deleted", at->m_deleted } }));
         }
       }
-      if (!events.empty() || Clock::now() >= until || m_isDown || aSocket.IsClosedByPeer()) {
-        return Json(200, { { "events", std::move(events) }, { "asOf", m_revision } });
+      if (!events.empty() || Clock::now() >= until || m_isDown ||
+          aSocket.IsClosedByPeer()) {
+        return Json(
+          200, { { "events", std::move(events) }, { "asOf", m_revision } });
       }
-      m_changed.wait_until(lock, std::min(until, Clock::now() + milliseconds(50)));
+      m_changed.wait_until(lock,
+                           std::min(until, Clock::now() + milliseconds(50)));
     }
   }
-  bool Handle(const Message& aRequest, Socket& aSocket) {
+  bool Handle(const Message& aRequest, Socket& aSocket)
+  {
     SleepMs(4);
     static const std::string kPrefix = "/heatherdeal/objects/";
     std::string path = aRequest.Path().substr(kPrefix.size());
-    const bool isStatus = path.size() > 7 && path.substr(path.size() - 7) == "/status";
+    const bool isStatus =
+      path.size() > 7 && path.substr(path.size() - 7) == "/status";
     if (isStatus) {
       path.resize(path.size() - 7);
     }
     const size_t slash = path.find('/');
     const std::string kind = path.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+    const std::string name =
+      slash == std::string::npos ? "" : path.substr(slash + 1);
     if (m_isDown) {
       return aSocket.Write(Format(Json(503, json::object())));
     }
@@ -287,9 +361,11 @@
 
 /// A worker of a service; with a model, it streams events as a model worker
 /// does. It lives in this process.
-class Worker {
+class Worker
+{
 public:
-  struct Spec {
+  struct Spec
+  {
     std::string m_service;
     std::string m_address;
     uint16_t m_port = 0;
@@ -304,36 +380,54 @@
   };
 
   Worker(Store& aStore, Record& aRecord, Spec aSpec)
-    : m_store(aStore), m_record(aRecord), m_spec(std::move(aSpec)), m_born(UnixMs()) {
-    m_id = "i-" + m_spec.m_service + "-" + m_spec.m_address.substr(m_spec.m_address.rfind('.') + 1);
+    : m_store(aStore)
+    , m_record(aRecord)
+    , m_spec(std::move(aSpec))
+    , m_born(UnixMs())
+  {
+    m_id = "i-" + m_spec.m_service + "-" +
+           m_spec.m_address.substr(m_spec.m_address.rfind('.') + 1);
   }
   /// The entry of a worker in the store.
-  static json::object MakeEntry(const Spec& aSpec, int64_t aBorn, uint64_t aVersion) {
-    json::object entry{ { "service", aSpec.m_service },
-                        { "addr", aSpec.m_address + ":" + std::to_string(aSpec.m_port) },
-                        { "zone", aSpec.m_zone },
-                        { "version", "1.0" },
-                        { "slots", aSpec.m_slots },
-                        { "state", "ready" },
-                        { "coldLeftMs", 0 },
-                        { "sequence", 0 },
-                        { "born", aBorn } };
+  static json::object MakeEntry(const Spec& aSpec,
+                                int64_t aBorn,
+                                uint64_t aVersion)
+  {
+    json::object entry{
+      { "service", aSpec.m_service },
+      { "addr", aSpec.m_address + ":" + std::to_string(aSpec.m_port) },
+      { "zone", aSpec.m_zone },
+      { "version", "1.0" },
+      { "slots", aSpec.m_slots },
+      { "state", "ready" },
+      { "coldLeftMs", 0 },
+      { "sequence", 0 },
+      { "born", aBorn }
+    };
     if (!aSpec.m_model.empty()) {
       entry["stage"] = "both";
-      entry["models"] = json::array{ json::object{ { "name", aSpec.m_model }, { "version", aVersion }, { "adapters", json::array() } } };
+      entry["models"] =
+        json::array{ json::object{ { "name", aSpec.m_model },
+                                   { "version", aVersion },
+                                   { "adapters", json::array() } } };
     }
     return entry;
   }
-  bool Start() {
-    const bool listens = m_server.Listen(m_spec.m_address, m_spec.m_port, [this](const Message& aRequest, Socket& aSocket) {
-      return !m_isGone && Handle(aRequest, aSocket);
-    });
+  bool Start()
+  {
+    const bool listens =
+      m_server.Listen(m_spec.m_address,
+                      m_spec.m_port,
+                      [this](const Message& aRequest, Socket& aSocket) {
+                        return !m_isGone && Handle(aRequest, aSocket);
+                      });
     Register();
     return listens;
   }
   /// The worker is lost for good: its runs break off, it answers nothing more,
   /// and its entry goes after three liveness report intervals of silence.
-  void LoseForGood(int aHeartbeatMs) {
+  void LoseForGood(int aHeartbeatMs)
+  {
     m_isGone = true;
     m_record.Line("worker " + m_id + " is lost for good");
     std::thread([this, aHeartbeatMs] {
@@ -348,14 +442,18 @@
   /// The newest version that was named; orders for a newer one get 400.
   static inline std::atomic<uint64_t> m_newest{ 1 };
   /// Called when a request begins to run, and when it has reached the worker.
-  std::function<void(const Worker&, const std::string& aRequestId, const Message&)> m_onRun;
+  std::function<
+    void(const Worker&, const std::string& aRequestId, const Message&)>
+    m_onRun;
   std::function<void(const Worker&, const std::string& aRequestId)> m_onEnd;
 
 private:
-  void Register() {
+  void Register()
+  {
     m_store.Put("servers", m_id, MakeEntry(m_spec, m_born, m_version));
   }
-  bool Handle(const Message& aRequest, Socket& aSocket) {
+  bool Handle(const Message& aRequest, Socket& aSocket)
+  {
     const std::string id = aRequest.Header("Request-Id");
     Message response;
     response.m_headers = { { "Request-Id", id } };
@@ -370,9 +468,18 @@
       response.m_headers = { { "Content-Type", "application/json" } };
       response.m_body = json::serialize(json::value{
         { "stage", "both" },
-        { "models", json::array{ json::object{ { "name", m_spec.m_model }, { "version", m_version.load() }, { "adapters", json::array() } } } },
-        { "busy", m_isLoading.load() }, { "sequence", m_sequence.load() }, { "waiting", 0 }, { "running", m_running.load() },
-        { "kvUsed", 0 }, { "kvTotal", 90000 }, { "handles", 0 }, { "born", m_born } });
+        { "models",
+          json::array{ json::object{ { "name", m_spec.m_model },
+                                     { "version", m_version.load() },
+                                     { "adapters", json::array() } } } },
+        { "busy", m_isLoading.load() },
+        { "sequence", m_sequence.load() },
+        { "waiting", 0 },
+        { "running", m_running.load() },
+        { "kvUsed", 0 },
+        { "kvTotal", 90000 },
+        { "handles", 0 },
+        { "born", m_born } });
       return aSocket.Write(Format(response));
     }
     if (aRequest.Path() == "/heatherdeal/order") {
@@ -389,7 +496,8 @@
       return aSocket.Write(Format(response));
     }
     // Requests that an order concerns and that have not started are rejected.
-    if (m_isLoading || m_waiting + m_running >= m_spec.m_slots + m_spec.m_queue) {
+    if (m_isLoading ||
+        m_waiting + m_running >= m_spec.m_slots + m_spec.m_queue) {
       response.m_status = 503;
       response.m_headers.push_back({ "Not-Run", "1" });
       return aSocket.Write(Format(response));
@@ -404,11 +512,16 @@
     }
     m_running += 1;
     m_waiting -= 1;
-    m_record.Line("worker " + m_id + " begins to run " + id + (aRequest.Header("Last-Event-Id").empty() ? "" : " after event " + aRequest.Header("Last-Event-Id")));
+    m_record.Line("worker " + m_id + " begins to run " + id +
+                  (aRequest.Header("Last-Event-Id").empty()
+                     ? ""
+                     : " after event " + aRequest.Header("Last-Event-Id")));
     if (m_onRun) {
       m_onRun(*this, id, aRequest);
     }
-    const bool keep = m_spec.m_model.empty() ? RunPlain(id, response, aSocket) : RunStream(id, aRequest, response, aSocket);
+    const bool keep = m_spec.m_model.empty()
+                        ? RunPlain(id, response, aSocket)
+                        : RunStream(id, aRequest, response, aSocket);
     m_running -= 1;
     m_record.Line("worker " + m_id + (keep ? " ends " : " breaks off ") + id);
     if (m_onEnd && keep) {
@@ -417,7 +530,8 @@
     return keep;
   }
   /// An order to load a version, in the mode "retain": runs go on under it.
-  Message TakeOrder(const Message& aRequest) {
+  Message TakeOrder(const Message& aRequest)
+  {
     const std::scoped_lock lock(m_orderMutex);
     Message response;
     response.m_headers = { { "Content-Type", "application/json" } };
@@ -433,13 +547,16 @@
     } else if (!m_isLoading && version == m_version) {
       m_fence = fence;
       response.m_status = 200;
-    } else if (m_isLoading || (order.contains("expected") && order.at("expected").to_number<uint64_t>() != m_sequence)) {
+    } else if (m_isLoading ||
+               (order.contains("expected") &&
+                order.at("expected").to_number<uint64_t>() != m_sequence)) {
       response.m_status = 409;
     } else {
       m_fence = fence;
       m_sequence += 1;
       m_isLoading = true;
-      m_record.Line("worker " + m_id + " loads version " + std::to_string(version));
+      m_record.Line("worker " + m_id + " loads version " +
+                    std::to_string(version));
       std::thread([this, version] {
         SleepMs(m_spec.m_loadMs);
         m_version = version;
@@ -449,28 +566,38 @@
     }
     return response;
   }
-  bool RunPlain(const std::string& aId, Message& aResponse, Socket& aSocket) {
+  bool RunPlain(const std::string& aId, Message& aResponse, Socket& aSocket)
+  {
     SleepMs(m_spec.m_plainMs);
     if (m_isGone) {
       return false;
     }
     aResponse.m_status = 200;
     aResponse.m_headers.push_back({ "Server-Stamp", "stamp-" + aId });
-    aResponse.m_headers.push_back({ "Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_spec.m_slots) });
+    aResponse.m_headers.push_back(
+      { "Server-Load",
+        std::to_string(m_running) + ",0," + std::to_string(m_spec.m_slots) });
     aResponse.m_body = "answer to " + aId;
     return aSocket.Write(Format(aResponse));
   }
-  bool RunStream(const std::string& aId, const Message& aRequest, Message& aResponse, Socket& aSocket) {
+  bool RunStream(const std::string& aId,
+                 const Message& aRequest,
+                 Message& aResponse,
+                 Socket& aSocket)
+  {
     aResponse.m_status = 200;
     aResponse.m_headers.push_back({ "Content-Type", "text/event-stream" });
     aResponse.m_headers.push_back({ "Server-Stamp", "stamp-" + aId });
     uint64_t version = m_version;
-    aResponse.m_headers.push_back({ "Weight-Versions", std::to_string(version) });
+    aResponse.m_headers.push_back(
+      { "Weight-Versions", std::to_string(version) });
     aResponse.m_headers.push_back({ "Transfer-Encoding", "chunked" });
     if (!aSocket.Write(Format(aResponse, false))) {
       return false;
     }
-    for (int event = std::atoi(aRequest.Header("Last-Event-Id").c_str()) + 1; event <= m_spec.m_events; ++event) {
+    for (int event = std::atoi(aRequest.Header("Last-Event-Id").c_str()) + 1;
+         event <= m_spec.m_events;
+         ++event) {
       SleepMs(m_spec.m_eventMs);
       if (m_isGone || aSocket.IsClosedByPeer()) {
         return false;
@@ -478,7 +605,8 @@
       while (m_isLoading && !m_isGone && !aSocket.IsClosedByPeer()) {
         SleepMs(5);
       }
-      std::string text = "id: " + std::to_string(event) + "\ndata: " + aId + "." + std::to_string(event) + "\n\n";
+      std::string text = "id: " + std::to_string(event) + "\ndata: " + aId +
+                         "." + std::to_string(event) + "\n\n";
       if (m_version != version) {
         version = m_version;
         text = "weight-versions: " + std::to_string(version) + "\n" + text;
@@ -511,7 +639,8 @@
 // ------------------------------------------------- the processes under test
 
 /// Ports that all machines of a run share.
-struct Ports {
+struct Ports
+{
   uint16_t m_internal = 0;
   uint16_t m_front = 0;
   uint16_t m_readiness = 0;
@@ -521,32 +650,50 @@
 };
 
 /// One machine of the small deployment: a process that the deploy file starts.
-class Machine {
+class Machine
+{
 public:
-  Machine(std::string aRole, std::string aName, std::string aZone, std::string aAddress)
-    : m_role(std::move(aRole)), m_name(std::move(aName)), m_zone(std::move(aZone)), m_address(std::move(aAddress)) {}
+  Machine(std::string aRole,
+          std::string aName,
+          std::string aZone,
+          std::string aAddress)
+    : m_role(std::move(aRole))
+    , m_name(std::move(aName))
+    , m_zone(std::move(aZone))
+    , m_address(std::move(aAddress))
+  {
+  }
 
   /// Fills in the template of the role as DEPLOY.md says.
-  void WriteSettings(const std::string& aRoot, const std::string& aFolder, const Ports& aPorts,
-                     const std::string& aStoreAddress, const std::vector<std::string>& aSeeds) {
+  void WriteSettings(const std::string& aRoot,
+                     const std::string& aFolder,
+                     const Ports& aPorts,
+                     const std::string& aStoreAddress,
+                     const std::vector<std::string>& aSeeds)
+  {
     m_folder = aFolder;
     std::ifstream file(aRoot + "/deploy/" + m_role + ".json");
     std::stringstream text;
     text << file.rdbuf();
     std::string seeds;
     for (const std::string& seed : aSeeds) {
-      seeds += (seeds.empty() ? "" : ",") + ("\"" + seed + ":" + std::to_string(aPorts.m_internal) + "\"");
+      seeds += (seeds.empty() ? "" : ",") +
+               ("\"" + seed + ":" + std::to_string(aPorts.m_internal) + "\"");
     }
-    const auto endpoint = [this](uint16_t aPort) { return "\"" + m_address + ":" + std::to_string(aPort) + "\""; };
+    const auto endpoint = [this](uint16_t aPort) {
+      return "\"" + m_address + ":" + std::to_string(aPort) + "\"";
+    };
     const std::vector<std::pair<std::string, std::string>> values{
       { "{{node|json}}", "\"" + m_name + "\"" },
       { "{{zone|json}}", "\"" + m_zone + "\"" },
       { "{{region|json}}", "\"region\"" },
       { "{{ip|json}}", "\"" + m_address + "\"" },
       { "{{internalPorts.0}}", std::to_string(aPorts.m_internal) },
-      { "{{platform.addr|json}}", "\"" + aStoreAddress + ":" + std::to_string(aPorts.m_store) + "\"" },
+      { "{{platform.addr|json}}",
+        "\"" + aStoreAddress + ":" + std::to_string(aPorts.m_store) + "\"" },
       { "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", seeds },
-      { "{{#bootstrap}}1500{{/bootstrap}}{{^bootstrap}}200{{/bootstrap}}", "1500" },
+      { "{{#bootstrap}}1500{{/bootstrap}}{{^bootstrap}}200{{/bootstrap}}",
+        "1500" },
       { "{{bounds.requireFence|json}}", "true" },
       { "{{listen.front|json}}", endpoint(aPorts.m_front) },
       { "{{listen.readiness|json}}", endpoint(aPorts.m_readiness) },
@@ -554,7 +701,8 @@
     };
     std::string settings = text.str();
     for (const auto& [from, to] : values) {
-      for (size_t at = settings.find(from); at != std::string::npos; at = settings.find(from, at + to.size())) {
+      for (size_t at = settings.find(from); at != std::string::npos;
+           at = settings.find(from, at + to.size())) {
         settings.replace(at, from.size(), to);
       }
     }
@@ -571,11 +719,14 @@
       }
     }
   }
-  bool Start() {
+  bool Start()
+  {
     std::vector<std::string> words;
     std::stringstream command(m_command);
     for (std::string word; command >> word;) {
-      words.push_back(word == "/etc/heatherdeal/node.json" ? m_folder + "/" + m_name + ".json" : word);
+      words.push_back(word == "/etc/heatherdeal/node.json"
+                        ? m_folder + "/" + m_name + ".json"
+                        : word);
     }
     std::vector<char*> arguments;
     for (std::string& word : words) {
@@ -594,13 +745,15 @@
     }
     return m_pid > 0;
   }
-  void Signal(int aSignal) {
+  void Signal(int aSignal)
+  {
     if (m_pid > 0) {
       ::kill(m_pid, aSignal);
     }
   }
   /// Waits for the end of the process; true if it ended in time.
-  bool Wait(int aTimeoutMs) {
+  bool Wait(int aTimeoutMs)
+  {
     const auto until = Clock::now() + milliseconds(aTimeoutMs);
     while (m_pid > 0) {
       if (::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
@@ -614,11 +767,15 @@
     }
     return true;
   }
-  void Kill() {
+  void Kill()
+  {
     Signal(SIGKILL);
     Wait(5000);
   }
-  bool IsRunning() { return m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == 0; }
+  bool IsRunning()
+  {
+    return m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == 0;
+  }
   const std::string& Name() const { return m_name; }
   const std::string& Address() const { return m_address; }
 
@@ -633,24 +790,42 @@
 };
 
 /// A small deployment: three zones with an entry and a rollout machine each.
-class System {
+class System
+{
 public:
   System(std::string aCaseFolder, size_t aEntries = 3)
-    : m_record(aCaseFolder + "/record.txt") {
+    : m_record(aCaseFolder + "/record.txt")
+  {
     std::mt19937 random(std::random_device{}());
-    m_net = "127." + std::to_string(20 + random() % 200) + "." + std::to_string(random() % 250) + ".";
+    m_net = "127." + std::to_string(20 + random() % 200) + "." +
+            std::to_string(random() % 250) + ".";
     uint16_t port = static_cast<uint16_t>(20000 + random() % 10000);
-    m_ports = { port, uint16_t(port + 1), uint16_t(port + 2), uint16_t(port + 3), uint16_t(port + 4), uint16_t(port + 5) };
-    m_folder = std::filesystem::temp_directory_path().string() + "/heatherdeal-review-" + std::to_string(::getpid());
+    m_ports = { port,
+                uint16_t(port + 1),
+                uint16_t(port + 2),
+                uint16_t(port + 3),
+                uint16_t(port + 4),
+                uint16_t(port + 5) };
+    m_folder = std::filesystem::temp_directory_path().string() +
+               "/heatherdeal-review-" + std::to_string(::getpid());
     std::filesystem::create_directories(m_folder);
     for (int i = 1; i <= 3; ++i) {
-      m_rollouts.push_back(std::make_unique<Machine>("rollout", "store-z" + std::to_string(i) + "-1", "z" + std::to_string(i), m_net + std::to_string(i)));
+      m_rollouts.push_back(
+        std::make_unique<Machine>("rollout",
+                                  "store-z" + std::to_string(i) + "-1",
+                                  "z" + std::to_string(i),
+                                  m_net + std::to_string(i)));
     }
     for (size_t i = 1; i <= aEntries; ++i) {
-      m_entries.push_back(std::make_unique<Machine>("entry", "front-z" + std::to_string(i) + "-1", "z" + std::to_string(i), m_net + std::to_string(10 + i)));
+      m_entries.push_back(
+        std::make_unique<Machine>("entry",
+                                  "front-z" + std::to_string(i) + "-1",
+                                  "z" + std::to_string(i),
+                                  m_net + std::to_string(10 + i)));
     }
   }
-  ~System() {
+  ~System()
+  {
     for (Machine* machine : All()) {
       machine->Kill();
     }
@@ -659,7 +834,8 @@
   }
   /// Ends all processes that were started, then this one. The threads of the
   /// stand-ins are not waited for.
-  [[noreturn]] void Finish(int aExitCode) {
+  [[noreturn]] void Finish(int aExitCode)
+  {
     for (Machine* machine : All()) {
       machine->Kill();
     }
@@ -667,7 +843,8 @@
     std::filesystem::remove_all(m_folder, ignored);
     std::_Exit(aExitCode);
   }
-  std::vector<Machine*> All() {
+  std::vector<Machine*> All()
+  {
     std::vector<Machine*> all;
     for (auto* group : { &m_rollouts, &m_entries }) {
       for (auto& machine : *group) {
@@ -676,10 +853,14 @@
     }
     return all;
   }
-  std::string WorkerAddress(int aNumber) const { return m_net + std::to_string(100 + aNumber); }
+  std::string WorkerAddress(int aNumber) const
+  {
+    return m_net + std::to_string(100 + aNumber);
+  }
   /// Starts the store and the machines; true once all entry machines are ready
   /// and every rollout machine has entered itself in the store.
-  bool Start(const json::value& aConfiguration) {
+  bool Start(const json::value& aConfiguration)
+  {
     if (!m_store.Start(m_net + "250", m_ports.m_store)) {
       return false;
     }
@@ -704,7 +885,10 @@
         ask.m_method = "GET";
         ask.m_target = "/heatherdeal/ready";
         ask.m_headers = { { "Host", "x" } };
-        ready = ready && Call(machine->Address(), m_ports.m_readiness, ask, 500).m_status == 200;
+        ready =
+          ready &&
+          Call(machine->Address(), m_ports.m_readiness, ask, 500).m_status ==
+            200;
       }
       if (ready) {
         return true;
@@ -736,18 +920,21 @@
 RandomId(std::mt19937_64& aRandom)
 {
   char text[20];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(aRandom()));
+  std::snprintf(
+    text, sizeof text, "%016llx", static_cast<unsigned long long>(aRandom()));
   return text;
 }
 
 inline std::string
 Base64(std::string_view aBytes)
 {
-  static const char* kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  static const char* kDigits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string text;
   for (size_t i = 0; i < aBytes.size(); i += 3) {
     uint32_t v = static_cast<unsigned char>(aBytes[i]) << 16;
-    v |= i + 1 < aBytes.size() ? static_cast<unsigned char>(aBytes[i + 1]) << 8 : 0;
+    v |= i + 1 < aBytes.size() ? static_cast<unsigned char>(aBytes[i + 1]) << 8
+                               : 0;
     v |= i + 2 < aBytes.size() ? static_cast<unsigned char>(aBytes[i + 2]) : 0;
     text += kDigits[v >> 18 & 63];
     text += kDigits[v >> 12 & 63];
@@ -759,7 +946,10 @@
 
 /// Items in groups of four, each with a scorer, as trainers send them.
 inline json::array
-MakeItems(std::mt19937_64& aRandom, size_t aGroups, const std::string& aModel, std::vector<std::string>& aIds)
+MakeItems(std::mt19937_64& aRandom,
+          size_t aGroups,
+          const std::string& aModel,
+          std::vector<std::string>& aIds)
 {
   json::array items;
   for (size_t group = 0; group < aGroups; ++group) {
@@ -767,13 +957,21 @@
     for (int i = 0; i < 4; ++i) {
       const std::string id = RandomId(aRandom);
       aIds.push_back(id);
-      items.push_back({ { "id", id },
-                        { "path", "/train/x/" + id.substr(0, 4) },
-                        { "headers", { { "Model", aModel }, { "Token-Counts", "516,60" }, { "Prompt-Prefix", part + ":500," + id.substr(0, 8) + ":16" } } },
-                        { "body", Base64("prompt " + id) },
-                        { "tokens", 576 },
-                        { "group", "g" + part },
-                        { "scorer", { { "id", RandomId(aRandom) }, { "host", "line.example" }, { "path", "/score/" + id.substr(0, 4) }, { "body", Base64("score " + id) } } } });
+      items.push_back(
+        { { "id", id },
+          { "path", "/train/x/" + id.substr(0, 4) },
+          { "headers",
+            { { "Model", aModel },
+              { "Token-Counts", "516,60" },
+              { "Prompt-Prefix", part + ":500," + id.substr(0, 8) + ":16" } } },
+          { "body", Base64("prompt " + id) },
+          { "tokens", 576 },
+          { "group", "g" + part },
+          { "scorer",
+            { { "id", RandomId(aRandom) },
+              { "host", "line.example" },
+              { "path", "/score/" + id.substr(0, 4) },
+              { "body", Base64("score " + id) } } } });
     }
   }
   return items;
