--- a/review/standin/case_late.cpp
+++ b/review/standin/case_late.cpp
@@ -1,7 +1,7 @@
 // The answers of the platform's store are lost for a while: a part of its
-// writes is not answered and done 1 to 6 s later; then it is down and answers
-// 503. Rule: REFUSED (an item runs whose batch submission was answered 429 or
-// 503 at every requester attempt).
+// writes is not answered and done 1 to 6 s later; then it is down and resets
+// its channels. Trainers try for 6 s. Rule: REFUSED (an item runs whose batch
+// submission was answered 429 or 503 at every requester attempt).
 #include <boost/json/src.hpp>
 
 #include "trainer.hpp"
@@ -13,10 +13,11 @@
 constexpr double kLostShare = 0.35;
 constexpr int kLostForMs = 4500;
 constexpr int kLostBeforeDownMs = 3000;
-constexpr int kDownForMs = 4500;
-constexpr int kTrainers = 4;
+constexpr int kDownForMs = 5900;
+constexpr double kPatienceS = 6.0;
+constexpr int kTrainers = 6;
 constexpr int kBetweenMs = 500;
-constexpr int kTimes = 3;
+constexpr int kTimes = 4;
 
 bool
 IsPromise(int aStatus)
@@ -79,6 +80,7 @@
       system.Finish(2);
     }
   }
+  system.m_store.m_isResetting = true;
   SleepMs(5000);
 
   std::vector<Batch> batches;
@@ -91,7 +93,7 @@
       for (int step = 0; !isStopping; ++step) {
         const auto next = Clock::now() + milliseconds(kBetweenMs);
         Batch batch = MakeBatch(random, 1, "m0", step);
-        Submit(system, random, batch, 2);
+        Submit(system, random, batch, 1000, kPatienceS);
         const std::scoped_lock lock(mutex);
         batches.push_back(std::move(batch));
         std::this_thread::sleep_until(next);
@@ -99,14 +101,14 @@
     });
   }
   for (int i = 0; i < kTimes; ++i) {
-    SleepMs(8000);
+    SleepMs(7000);
     if (hasTrouble) {
       record.Line("the store begins to lose answers");
       isLosing = true;
     }
     SleepMs(kLostBeforeDownMs);
     if (hasTrouble) {
-      record.Line("the store is down: it answers 503");
+      record.Line("the store is down: it resets its channels");
       system.m_store.m_isDown = true;
     }
     SleepMs(kLostForMs - kLostBeforeDownMs);
@@ -139,12 +141,10 @@
     acceptedRan += batch.m_isAccepted && begun == batch.m_items.size();
     refused += isRefused;
     if (isRefused && begun > 0) {
-      std::string answers;
-      for (const int answer : batch.m_answers) {
-        answers += " " + std::to_string(answer);
-      }
-      record.Line("BROKEN REFUSED: batch " + batch.m_id + " was answered" +
-                  answers + " and " + std::to_string(begun) + " of its " +
+      record.Line("BROKEN REFUSED: batch " + batch.m_id +
+                  " got only promises that it doesn't run (" +
+                  std::to_string(batch.m_answers.size()) + " attempts) and " +
+                  std::to_string(begun) + " of its " +
                   std::to_string(batch.m_items.size()) + " items ran");
       isBroken = true;
     }
--- a/review/standin/http.hpp
+++ b/review/standin/http.hpp
@@ -96,6 +96,13 @@
       m_fd = -1;
     }
   }
+  /// Closes the connection with a reset.
+  void Reset()
+  {
+    const linger atOnce{ 1, 0 };
+    setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    Close();
+  }
   bool Write(std::string_view aBytes)
   {
     while (!aBytes.empty()) {
--- a/review/standin/system.hpp
+++ b/review/standin/system.hpp
@@ -85,7 +85,8 @@
   std::function<
     Fate(const std::string& aKind, const std::string& aName, const Message&)>
     m_fate;
-  std::atomic<bool> m_isDown{ false }; // answers 503
+  std::atomic<bool> m_isDown{ false };      // answers 503
+  std::atomic<bool> m_isResetting{ false }; // resets each channel instead
   std::function<void(const std::string& aKind,
                      const std::string& aName,
                      const json::object&)>
@@ -299,6 +300,14 @@
                            std::min(until, Clock::now() + milliseconds(50)));
     }
   }
+  bool TurnAway(Socket& aSocket)
+  {
+    if (m_isResetting) {
+      aSocket.Reset();
+      return false;
+    }
+    return aSocket.Write(Format(Json(503, json::object())));
+  }
   bool Handle(const Message& aRequest, Socket& aSocket)
   {
     SleepMs(4);
@@ -314,7 +323,7 @@
     const std::string name =
       slash == std::string::npos ? "" : path.substr(slash + 1);
     if (m_isDown) {
-      return aSocket.Write(Format(Json(503, json::object())));
+      return TurnAway(aSocket);
     }
     if (aRequest.m_method == "GET") {
       Message response;
@@ -324,7 +333,7 @@
       } else if (!aRequest.Query("watch").empty()) {
         response = Watch(aRequest, kind, aSocket);
         if (m_isDown) {
-          response = Json(503, json::object());
+          return TurnAway(aSocket);
         }
       } else {
         response = List(aRequest, kind);
--- a/review/standin/trainer.hpp
+++ b/review/standin/trainer.hpp
@@ -58,13 +58,21 @@
   return batch;
 }
 
-/// Submits the batch, and once more at another time if it is not accepted: the
-/// sheets give trainers one retry. Honours Retry-After.
+/// Submits the batch again and again until it is accepted, aTries tries are
+/// made or aPatienceS seconds have passed. Honours Retry-After.
 inline void
-Submit(System& aSystem, std::mt19937_64& aRandom, Batch& aBatch, int aTries)
+Submit(System& aSystem,
+       std::mt19937_64& aRandom,
+       Batch& aBatch,
+       int aTries,
+       double aPatienceS = 1000)
 {
   aBatch.m_sentAt = aSystem.m_record.Now();
+  const double until = aBatch.m_sentAt + aPatienceS;
   for (int i = 0; i < aTries && !aBatch.m_isAccepted; ++i) {
+    if (aSystem.m_record.Now() >= until) {
+      return;
+    }
     aSystem.m_record.Line("trainer submits batch " + aBatch.m_id + " with " +
                           std::to_string(aBatch.m_items.size()) + " items");
     const Message answer = TrainerCall(
