--- a/review/standin/case_policy.cpp
+++ b/review/standin/case_policy.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int kDownForMs = 4500;
-constexpr int kEpisodes = 3;
+constexpr int kEpisodes = 4;
 constexpr int kEvents = 60;
 constexpr int kEventMs = 40;
 
