Keep the unknown outcome of the write that accepts a batch

Cause: the create of the placement accepts a batch. An attempt whose answer was lost was retried, and if the retry certainly failed, the outcome of the retry was reported. The same cause on related paths: - StoreTransport returned the outcome of the last of several ways (direct, two relays), although an earlier one may have passed the call on; - the HTTP client sends a request again if a kept connection breaks; a rejection of the second copy was read as one of both; - BatchGateway read a 503 to such a second copy as a promise.

The transport keeps the failure that may have been executed. The head of a response says whether it answers a second copy.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -245,6 +245,16 @@
   /// outcome of the write is unknown.
   void CreatePlacement(std::shared_ptr<const Submission> aSubmission,
                        core::Instant aDeadline);
+  /// Tries again while an attempt may have taken effect, else rejects.
+  void HandleFailedCreation(std::shared_ptr<const Submission> aSubmission,
+                            const core::Failure& aFailure,
+                            core::Instant aDeadline);
+  /// Returns NotAccepted, or AcceptanceUnknown if an earlier attempt to create
+  /// the batch's placement may still take effect.
+  SubmitOutcome MakeRejection(const BatchId& aBatch,
+                              core::Failure aFailure) const;
+  /// Drops unconfirmed creations that are older than the retention time.
+  void ForgetOldCreations();
   /// Becomes the owner of a batch whose placement has been created.
   void AdoptBatch(std::shared_ptr<const Submission> aSubmission,
                   uint64_t aVersion);
@@ -305,6 +315,9 @@
   /// Callers that wait for the outcome of a submission, by batch.
   std::map<std::string, std::vector<SubmitCallback>, std::less<>>
     m_pendingSubmissions;
+  /// Batches whose placement an attempt of unknown outcome may still create,
+  /// and until when that is remembered.
+  std::map<std::string, core::Instant, std::less<>> m_unconfirmedCreations;
   kernel::DeadlineTimer m_workTimer;
   kernel::DeadlineTimer m_housekeepingTimer;
   kernel::DeadlineTimer m_drainTimer;
--- a/src/batches/internal/accepting.cpp
+++ b/src/batches/internal/accepting.cpp
@@ -36,7 +36,8 @@
     return;
   }
   if (m_isHandingOver) {
-    aDone(NotAccepted{ core::Draining{ m_context.Self().m_host } });
+    aDone(MakeRejection(aSubmission.m_id,
+                        core::Draining{ m_context.Self().m_host }));
     return;
   }
   std::vector<SubmitCallback>& callbacks = m_pendingSubmissions[id];
@@ -90,10 +91,31 @@
                    }
                    self->CompleteSubmission(
                      aSubmission->m_id,
-                     NotAccepted{ http::FailureOf(aVersion.status()) });
+                     self->MakeRejection(aSubmission->m_id,
+                                         http::FailureOf(aVersion.status())));
                  });
 }
 
+SubmitOutcome
+Batches::MakeRejection(const BatchId& aBatch, core::Failure aFailure) const
+{
+  // A later attempt that certainly failed says nothing about an earlier one
+  // that the store may still execute.
+  if (m_unconfirmedCreations.contains(aBatch.m_value)) {
+    return AcceptanceUnknown{};
+  }
+  return NotAccepted{ std::move(aFailure) };
+}
+
+void
+Batches::ForgetOldCreations()
+{
+  const core::Instant now = kernel::Now();
+  std::erase_if(m_unconfirmedCreations, [now](const auto& aCreation) {
+    return aCreation.second <= now;
+  });
+}
+
 void
 Batches::CreatePlacement(std::shared_ptr<const Submission> aSubmission,
                          core::Instant aDeadline)
@@ -120,17 +142,32 @@
         self->CompleteSubmission(aSubmission->m_id, Accepted{});
         return;
       }
-      const core::Failure failure = http::FailureOf(aVersion.status());
-      if (core::ExecutedOf(failure) == core::Executed::No) {
-        self->CompleteSubmission(aSubmission->m_id, NotAccepted{ failure });
-        return;
-      }
-      if (kernel::Now() < aDeadline) {
-        self->CreatePlacement(aSubmission, aDeadline);
-        return;
-      }
-      self->CompleteSubmission(aSubmission->m_id, AcceptanceUnknown{});
+      self->HandleFailedCreation(
+        aSubmission, http::FailureOf(aVersion.status()), aDeadline);
+    });
+}
+
+void
+Batches::HandleFailedCreation(std::shared_ptr<const Submission> aSubmission,
+                              const core::Failure& aFailure,
+                              core::Instant aDeadline)
+{
+  const BatchId& batch = aSubmission->m_id;
+  if (core::ExecutedOf(aFailure) != core::Executed::No) {
+    m_unconfirmedCreations[batch.m_value] =
+      kernel::Now() + m_settings.m_retention;
+  }
+  SubmitOutcome outcome = MakeRejection(batch, aFailure);
+  const bool isUnknown = std::holds_alternative<AcceptanceUnknown>(outcome);
+  if (isUnknown && kernel::Now() < aDeadline) {
+    // The store may be away for a moment only; a later attempt settles the
+    // outcome.
+    ScheduleRetry([self = shared_from_this(), aSubmission, aDeadline] {
+      self->CreatePlacement(aSubmission, aDeadline);
     });
+    return;
+  }
+  CompleteSubmission(batch, outcome);
 }
 
 void
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -27,6 +27,7 @@
                         [this] {
                           TakeOverOrphans();
                           RemoveExpiredBatches();
+                          ForgetOldCreations();
                           m_housekeepingTimer.Set(kernel::Now() +
                                                   kHousekeepingInterval);
                         })
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -171,6 +171,12 @@
       }
       continue;
     }
+    if (status == kUnavailable && response->m_head.m_isOfSecondTry) {
+      // The host may have accepted the call the first time.
+      failure = core::ToStatus(
+        core::ConnectionFailed{ host.m_name, core::Executed::Unknown });
+      continue;
+    }
     if (status == kUnavailable) {
       unavailable = *std::move(response);
       continue;
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -54,6 +54,7 @@
     return;
   }
   m_placements.insert_or_assign(id, aPlacement);
+  m_unconfirmedCreations.erase(id);
   const bool isOwner = aPlacement.m_owner == m_context.Self().m_host;
   const auto owned = m_owned.find(id);
   if (!isOwner && owned != m_owned.end()) {
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -343,4 +343,11 @@
   return DecodeFailure(std::string(*payload));
 }
 
+bool
+MayHaveBeenExecuted(const absl::Status& aStatus)
+{
+  const std::optional<Failure> failure = FailureFromStatus(aStatus);
+  return !failure || ExecutedOf(*failure) != Executed::No;
+}
+
 } // namespace heatherdeal::core
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -292,4 +292,9 @@
 std::optional<Failure>
 FailureFromStatus(const absl::Status& aStatus);
 
+/// True unless the status carries a failure of a request that was certainly not
+/// executed.
+bool
+MayHaveBeenExecuted(const absl::Status& aStatus);
+
 } // namespace heatherdeal::core
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -34,6 +34,8 @@
   ResponseStream& operator=(const ResponseStream&) = delete;
 
   const ResponseHead& Head() const { return m_head; }
+  /// Records that the request was sent before on a connection that failed.
+  void MarkSecondTry() { m_head.m_isOfSecondTry = true; }
   /// True if the response has been read completely.
   bool HasEnded() const;
   /// Closes the connection, to discard a response that is not the expected one.
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -461,6 +461,7 @@
   if (!opened.ok()) {
     co_return FailureOfSecondTry(aPeer, opened.status());
   }
+  (*opened)->MarkSecondTry();
   co_return opened;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,6 +30,9 @@
 {
   uint32_t m_status = 200;
   std::vector<Header> m_headers;
+  /// Set by the client if it sent the request before, on a connection that
+  /// failed: the peer may have executed it, whatever this response says.
+  bool m_isOfSecondTry = false;
 };
 
 /// A complete response.
--- a/src/http/tests/crashingserver.cpp
+++ b/src/http/tests/crashingserver.cpp
@@ -57,12 +57,14 @@
     // The requests of tests are short enough to arrive in one part.
     const size_t size = co_await aSocket->async_read_some(
       asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    if (error || m_hasCrashed.load()) {
+    const bool isDown = m_hasCrashed.load() && m_mode != CrashMode::Restarted;
+    if (error || isDown) {
       co_return;
     }
     m_received.fetch_add(1);
     const std::string_view request(bytes.data(), size);
-    if (request.find(kCrashMarker) != std::string_view::npos) {
+    const bool isMarked = request.find(kCrashMarker) != std::string_view::npos;
+    if (isMarked && !m_hasCrashed.load()) {
       Crash();
       co_return;
     }
@@ -81,10 +83,13 @@
     return;
   }
   boost::system::error_code ignored;
-  m_acceptor.close(ignored);
+  if (m_mode == CrashMode::Closed) {
+    m_acceptor.close(ignored);
+  }
   for (const auto& connection : m_connections) {
     connection->close(ignored);
   }
+  m_connections.clear();
 }
 
 } // namespace heatherdeal::http
--- a/src/http/tests/crashingserver.h
+++ b/src/http/tests/crashingserver.h
@@ -22,6 +22,9 @@
   Closed,
   /// Connections stay open, but nothing is answered any more.
   Silent,
+  /// All connections are closed, and the server is back at once; the next
+  /// crash marker does not crash it.
+  Restarted,
 };
 
 /// A server with persistent connections that crashes when it receives a request
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -36,13 +36,6 @@
   });
 }
 
-bool
-MayHaveTakenEffect(const absl::Status& aStatus)
-{
-  const std::optional<core::Failure> failure = core::FailureFromStatus(aStatus);
-  return !failure || core::ExecutedOf(*failure) != core::Executed::No;
-}
-
 RequestSender
 MakeRequestSender(std::shared_ptr<StoreTransport> aTransport)
 {
@@ -118,7 +111,7 @@
     co_await WriteObject(sendRequest, aWrite, kernel::Now() + aCallTimeout);
   const bool isOutcomeUnknown = !version.ok() &&
                                 !absl::IsAborted(version.status()) &&
-                                MayHaveTakenEffect(version.status());
+                                core::MayHaveBeenExecuted(version.status());
   if (isOutcomeUnknown) {
     aContext.Metrics().Get("objectstore.write_reply_lost").Add();
     const absl::Status failure = version.status();
--- a/src/objectstore/internal/storetransport.cpp
+++ b/src/objectstore/internal/storetransport.cpp
@@ -33,6 +33,32 @@
          aResponse->m_head.m_status != kTooManyRequests;
 }
 
+/// Returns the outcome of a call that was sent twice: the later response if it
+/// is definitive, else a failure that says whether either try may have been
+/// executed.
+absl::StatusOr<http::Response>
+CombineTries(absl::StatusOr<http::Response> aEarlier,
+             absl::StatusOr<http::Response> aLater)
+{
+  const bool earlierMayBeExecuted =
+    !aEarlier.ok() && core::MayHaveBeenExecuted(aEarlier.status());
+  return !IsDefinitiveResponse(aLater) && earlierMayBeExecuted ? aEarlier
+                                                               : aLater;
+}
+
+/// Returns the response to a call that was sent once. If it was sent before, a
+/// response that rejects it says nothing about the first time.
+absl::StatusOr<http::Response>
+CheckSecondTry(absl::StatusOr<http::Response> aResponse)
+{
+  const bool isRejection = aResponse.ok() && !IsDefinitiveResponse(aResponse);
+  if (isRejection && aResponse->m_head.m_isOfSecondTry) {
+    return core::ToStatus(
+      core::ConnectionFailed{ "store", core::Executed::Unknown });
+  }
+  return aResponse;
+}
+
 /// Wraps a request so that another host forwards it to the store.
 http::Request
 WrapForRelay(const http::Request& aRequest)
@@ -90,8 +116,9 @@
     m_endpoints[m_nextEndpoint++ % m_endpoints.size()];
   http::Request request = aRequest;
   const core::Instant sentAt = kernel::Now();
-  absl::StatusOr<http::Response> response = co_await m_client.Call(
+  absl::StatusOr<http::Response> received = co_await m_client.Call(
     endpoint, std::move(request), http::Reuse::Allowed, aDeadline);
+  absl::StatusOr<http::Response> response = CheckSecondTry(std::move(received));
   m_context.Metrics().Latency("objectstore.call").Add(kernel::Now() - sentAt);
   const std::string outcome =
     response.ok() ? std::to_string(response->m_head.m_status) : "unanswered";
@@ -112,15 +139,18 @@
     const core::Instant attemptDeadline =
       std::min(aDeadline, kernel::Now() + kRelayedCallTimeout);
     http::Request request = WrapForRelay(aRequest);
-    response = co_await m_client.Call(
+    absl::StatusOr<http::Response> received = co_await m_client.Call(
       relay, std::move(request), http::Reuse::Allowed, attemptDeadline);
+    absl::StatusOr<http::Response> relayed =
+      CheckSecondTry(std::move(received));
     const bool relayFailed =
-      response.ok() &&
-      !http::FindHeader(response->m_head.m_headers, kRelayFailedHeader).empty();
+      relayed.ok() &&
+      !http::FindHeader(relayed->m_head.m_headers, kRelayFailedHeader).empty();
     if (relayFailed) {
-      response = core::ToStatus(
+      relayed = core::ToStatus(
         core::ConnectionFailed{ "store", core::Executed::Unknown });
     }
+    response = CombineTries(std::move(response), std::move(relayed));
     if (IsDefinitiveResponse(response)) {
       m_context.Metrics().Get("objectstore.calls_relayed").Add();
       co_return response;
@@ -136,9 +166,7 @@
   const auto relays = m_relays.Read();
   absl::StatusOr<http::Response> directResponse =
     core::ToStatus(core::NoUpstream{ "store" });
-  bool wasTriedDirectly = false;
   if (!IsDirectSuspended() || relays->empty()) {
-    wasTriedDirectly = true;
     const core::Instant attemptDeadline =
       relays->empty() ? aDeadline
                       : std::min(aDeadline, kernel::Now() + kDirectCallTimeout);
@@ -161,15 +189,7 @@
   }
   absl::StatusOr<http::Response> relayedResponse =
     co_await SendViaRelays(aRequest, aDeadline);
-  // The direct call may have been executed. Its failure is returned unless the
-  // relayed call settled the outcome.
-  const bool returnDirectFailure = wasTriedDirectly &&
-                                   !IsDefinitiveResponse(relayedResponse) &&
-                                   !directResponse.ok();
-  if (returnDirectFailure) {
-    co_return directResponse;
-  }
-  co_return relayedResponse;
+  co_return CombineTries(std::move(directResponse), std::move(relayedResponse));
 }
 
 asio::awaitable<void>
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -5,6 +5,7 @@
 
 #include "catch2/catch.hpp"
 
+#include "http/tests/crashingserver.h"
 #include "http/tests/loopback.h"
 #include "kernel/sleep.h"
 #include "objectstore/objectcodec.h"
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr uint32_t kUnavailable = 503;
+
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -184,6 +187,21 @@
       std::make_shared<ObjectStore>(m_remoteLoopback.Kernel(), settings);
   }
 
+  absl::StatusOr<uint64_t> WriteFromRemoteHost(std::string aValue)
+  {
+    std::promise<absl::StatusOr<uint64_t>> done;
+    m_remoteLoopback.Kernel().Control().Post([&] {
+      m_remoteClient->Write({ "kind", "name" },
+                            0,
+                            aValue,
+                            CallPriority::Lease,
+                            [&](absl::StatusOr<uint64_t> aVersion) {
+                              done.set_value(std::move(aVersion));
+                            });
+    });
+    return done.get_future().get();
+  }
+
   void Watch(std::string& aLastValue, std::mutex& aMutex)
   {
     m_remoteLoopback.Kernel().Control().Post([&] {
@@ -239,8 +257,8 @@
   return false;
 }
 
-/// A store or relay that answers each list request with the next response of a
-/// series, and then with the last one.
+/// A store or relay that answers each list request or relayed call with the
+/// next response of a series, and then with the last one.
 struct ScriptedStore
 {
   http::Loopback m_loopback{ http::AnyPort() };
@@ -250,10 +268,14 @@
   explicit ScriptedStore(std::vector<http::Response> aResponses)
     : m_responses(std::move(aResponses))
   {
-    m_loopback.Http().AddRoute(
-      { "GET", "/watch/", [this](http::Exchange& aExchange) {
-         return Handle(aExchange);
-       } });
+    for (const auto& [method, path] :
+         { std::pair("GET", "/watch/"),
+           std::pair("POST", "/objectstore/relay") }) {
+      m_loopback.Http().AddRoute(
+        { method, path, [this](http::Exchange& aExchange) {
+           return Handle(aExchange);
+         } });
+    }
     m_loopback.Listen();
   }
 
@@ -303,20 +325,50 @@
   HostPair hosts(ClosedPort());
   const std::vector<core::Endpoint> peers{ relay.m_loopback.Self() };
   hosts.m_remoteClient->SetCallRelays(peers);
-  std::promise<absl::StatusOr<uint64_t>> done;
-  hosts.m_remoteLoopback.Kernel().Control().Post([&] {
-    hosts.m_remoteClient->Write({ "kind", "name" },
-                                0,
-                                "far",
-                                CallPriority::Lease,
-                                [&](absl::StatusOr<uint64_t> aVersion) {
-                                  done.set_value(std::move(aVersion));
-                                });
-  });
-  CHECK(done.get_future().get().ok());
+  CHECK(hosts.WriteFromRemoteHost("far").ok());
   CHECK(store.Read()->m_value == "far");
 }
 
+// Guards against a promise that a write was not executed although one of two
+// ways to the store may have passed it on (REFUSED).
+TEST_CASE("a write that a relay may have passed on has an unknown outcome, "
+          "whatever the next relay says")
+{
+  http::Response failed = ErrorResponse(502);
+  failed.m_head.m_headers.push_back({ "X-Heatherdeal-Relay-Failed", "1" });
+  const ScriptedStore relayWithoutAnswer({ failed });
+  const ScriptedStore relayTurnedAway({ ErrorResponse(kUnavailable) });
+  HostPair hosts(ClosedPort());
+  std::vector<core::Endpoint> relays{ relayWithoutAnswer.m_loopback.Self() };
+  SECTION("the next relay is turned away")
+  {
+    relays.push_back(relayTurnedAway.m_loopback.Self());
+  }
+  SECTION("there is no other relay") {}
+  hosts.m_remoteClient->SetCallRelays(relays);
+  const auto written = hosts.WriteFromRemoteHost("value");
+  CHECK(relayWithoutAnswer.m_requests.load() == 1);
+  REQUIRE_FALSE(written.ok());
+  CHECK(ExecutedOf(written.status()) == core::Executed::Unknown);
+}
+
+// Guards against the same promise where the store closed a kept connection
+// after it had received the write, and rejected the second copy.
+TEST_CASE("a write that was sent on a kept connection before has an unknown "
+          "outcome, although its second copy is rejected")
+{
+  const http::CrashingServer store(
+    "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+    http::CrashMode::Restarted);
+  HostPair hosts(store.Endpoint());
+  const auto rejected = hosts.WriteFromRemoteHost("value");
+  CHECK(ExecutedOf(rejected.status()) == core::Executed::No);
+  const auto sentTwice =
+    hosts.WriteFromRemoteHost(std::string(http::CrashingServer::kCrashMarker));
+  CHECK(store.HasCrashed());
+  CHECK(ExecutedOf(sentTwice.status()) == core::Executed::Unknown);
+}
+
 TEST_CASE(
   "a host watches through a relay, and polls the store once the relay stops")
 {
@@ -380,7 +432,6 @@
   "while relays report an outage, a host calls the store rarely, and it "
   "follows the relays again afterwards")
 {
-  constexpr uint32_t kUnavailable = 503;
   ScriptedStore store({ ErrorResponse(kUnavailable) });
   std::vector<http::Response> relayed(8, ErrorResponse(kUnavailable));
   relayed.insert(relayed.begin(), ListResponse(10, "before"));
@@ -401,7 +452,6 @@
   "a relay that retains an object after its own outage does not report it "
   "to others")
 {
-  constexpr uint32_t kUnavailable = 503;
   http::Response emptyList;
   emptyList.m_body = EncodeBuiltInList(12, {});
   std::vector<http::Response> responses(6, ErrorResponse(kUnavailable));
@@ -446,7 +496,6 @@
 TEST_CASE(
   "a host whose relays are cut off from the store watches the store itself")
 {
-  constexpr uint32_t kUnavailable = 503;
   StoreFixture store;
   ScriptedStore relay({ ErrorResponse(kUnavailable) });
   HostPair hosts(store.m_loopback.Self());
@@ -474,7 +523,6 @@
 // still waits for relays that it no longer has (DRAIN).
 TEST_CASE("a host that stops following relays during an outage relists at once")
 {
-  constexpr uint32_t kUnavailable = 503;
   constexpr int kRelists = 10;
   StoreFixture store;
   REQUIRE(store.Write(0, "a").ok());
