Pass over a service of a split route that takes no items

Cause: the service of the next item followed from the number of the last run, which only grows when something starts. While that number lay within the weights of a service that takes nothing, nothing started, so that it never moved. The same cause on related paths: the relay spent the attempts of a call on a service without upstreams, since fifty successive numbers stood for the same service; MoveItems looked at the service in turn only.

The services now take turns (ServiceTurns, a decision of its own). One without engines is passed over at once; a busy one is waited for once, for a second, and then passed over until it takes an item again, so that weights hold while all services take items. Successive numbers alternate between services. The relay leaves out services without upstreams.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -273,10 +273,19 @@
   void MoveItemsIfDue();
   /// Aborts runs on slow engines, so that the items resume on faster ones.
   void MoveItems();
-  std::shared_ptr<const routing::Pool> FindPool(
-    const configuration::Route* aRoute,
-    const BatchRun& aRun) const;
+  /// Aborts the runs on the slow engines of one pool.
+  void MoveItemsOfPool(const OwnedPtr& aOwned, const PoolView& aView);
   void StartItemsOfBatch(const OwnedPtr& aOwned, PoolViews& aViews);
+  /// Starts one item at the service of the route whose turn it is, or at
+  /// another one if that is passed over. Returns false if none could start.
+  bool StartNextItem(const OwnedPtr& aOwned,
+                     const configuration::Route& aRoute,
+                     PoolViews& aViews);
+  /// Starts one item at the engines of the pool. Returns false if none could
+  /// start.
+  bool StartItemAt(const OwnedPtr& aOwned,
+                   const std::shared_ptr<const routing::Pool>& aPool,
+                   PoolViews& aViews);
   /// Sends one item to an engine that has refused items, to find out whether
   /// it accepts them again.
   void ProbeEngine(const OwnedPtr& aOwned, PoolView& aView);
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -6,6 +6,7 @@
 #include <span>
 
 #include "batches/batch.h"
+#include "batches/serviceturns.h"
 
 namespace heatherdeal::batches {
 
@@ -138,6 +139,8 @@
   /// The earliest time of the next checkpoint; Instant::max() while a
   /// checkpoint write is in flight.
   core::Instant m_nextCheckpointAt{};
+  /// Which service of the route starts the next item.
+  ServiceTurns m_serviceTurns;
   /// The number of the last run or scoring request; numbers are never reused.
   uint64_t m_lastRunNumber = 0;
   /// True once the trainer has ended the batch.
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -179,6 +179,19 @@
   return std::nullopt;
 }
 
+bool
+HasItemFor(const BatchRun& aRun,
+           const core::ServiceId& aService,
+           core::Instant aNow)
+{
+  return std::ranges::any_of(aRun.m_startOrder, [&](size_t aItem) {
+    const ItemState& item = aRun.m_items[aItem];
+    const bool isOfService =
+      !HasText(item) || item.m_software.m_service == aService;
+    return isOfService && CanStart(aRun, aItem, aNow);
+  });
+}
+
 std::optional<ItemStart>
 FindProbe(const BatchRun& aRun,
           std::span<const EngineSnapshot> aEngines,
--- a/src/batches/engines.h
+++ b/src/batches/engines.h
@@ -64,6 +64,13 @@
                 std::span<const EngineSnapshot> aEngines,
                 core::Instant aNow);
 
+/// True if an item that may start now could be started by an engine of the
+/// service: it has no text yet, or one that the service began.
+bool
+HasItemFor(const BatchRun& aRun,
+           const core::ServiceId& aService,
+           core::Instant aNow);
+
 /// Returns an engine that has refused items and the waiting item to probe it
 /// with: the shortest one, which loses the least by another refusal, or the
 /// longest one if every engine that could run it refuses.
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -165,32 +165,69 @@
 void
 Batches::StartItemsOfBatch(const OwnedPtr& aOwned, PoolViews& aViews)
 {
-  BatchRun& run = aOwned->m_run;
   const auto document = m_configuration->Read();
   const configuration::Route* route =
-    FindSubmissionRoute(*document, *run.m_submission);
-  for (;;) {
-    const core::Instant now = kernel::Now();
-    const auto pool =
-      FindNextItemToStart(run, now) ? FindPool(route, run) : nullptr;
-    if (!pool) {
+    FindSubmissionRoute(*document, *aOwned->m_run.m_submission);
+  if (route == nullptr) {
+    return;
+  }
+  while (FindNextItemToStart(aOwned->m_run, kernel::Now())) {
+    if (!StartNextItem(aOwned, *route, aViews)) {
       return;
     }
-    PoolView& view = aViews.FindOrAdd(pool, run.m_submission->m_weights);
-    const std::optional<ItemStart> start =
-      ChooseNextStart(run, view.m_engines, now);
-    if (!start && DiscardTexts(aOwned, view)) {
+  }
+}
+
+bool
+Batches::StartNextItem(const OwnedPtr& aOwned,
+                       const configuration::Route& aRoute,
+                       PoolViews& aViews)
+{
+  BatchRun& run = aOwned->m_run;
+  std::vector<core::ServiceId> tried;
+  while (const auto service =
+           FindServiceInTurn(run.m_serviceTurns, aRoute, tried)) {
+    tried.push_back(*service);
+    const core::Instant now = kernel::Now();
+    if (!HasItemFor(run, *service, now)) {
       continue;
     }
-    if (!start) {
-      if (view.m_hasLimits) {
-        view.m_waitingItems += CountItemsToStart(run, now);
-      }
-      ProbeEngine(aOwned, view);
-      return;
+    const auto pool = m_relay->UpstreamRouter().FindPool(service->m_value);
+    if (pool && StartItemAt(aOwned, pool, aViews)) {
+      RecordTaken(run.m_serviceTurns, *service);
+      return true;
     }
+    const ServiceState state = pool && routing::HasStayingUpstream(*pool)
+                                 ? ServiceState::Busy
+                                 : ServiceState::WithoutEngines;
+    if (!RecordNotTaken(run.m_serviceTurns, *service, state, now)) {
+      return false;
+    }
+  }
+  return false;
+}
+
+bool
+Batches::StartItemAt(const OwnedPtr& aOwned,
+                     const std::shared_ptr<const routing::Pool>& aPool,
+                     PoolViews& aViews)
+{
+  BatchRun& run = aOwned->m_run;
+  const core::Instant now = kernel::Now();
+  PoolView& view = aViews.FindOrAdd(aPool, run.m_submission->m_weights);
+  std::optional<ItemStart> start = ChooseNextStart(run, view.m_engines, now);
+  if (!start && DiscardTexts(aOwned, view)) {
+    start = ChooseNextStart(run, view.m_engines, now);
+  }
+  if (start) {
     StartItem(aOwned, *start, view);
+    return true;
   }
+  if (view.m_hasLimits) {
+    view.m_waitingItems += CountItemsToStart(run, now);
+  }
+  ProbeEngine(aOwned, view);
+  return false;
 }
 
 bool
@@ -229,17 +266,6 @@
   aView.m_engines[probe->m_engine].m_usable = false;
 }
 
-std::shared_ptr<const routing::Pool>
-Batches::FindPool(const configuration::Route* aRoute,
-                  const BatchRun& aRun) const
-{
-  if (aRoute == nullptr) {
-    return nullptr;
-  }
-  return m_relay->UpstreamRouter().FindPool(
-    configuration::ChooseService(*aRoute, aRun.m_lastRunNumber).m_value);
-}
-
 void
 Batches::MoveItems()
 {
@@ -249,36 +275,45 @@
     const bool cannotMove =
       !owned->m_loaded || owned->m_run.m_ended ||
       FindNextItemToStart(owned->m_run, kernel::Now()).has_value();
-    const BatchRun& run = owned->m_run;
-    const auto pool =
-      cannotMove
-        ? nullptr
-        : FindPool(FindSubmissionRoute(*document, *run.m_submission), run);
-    if (!pool) {
+    const configuration::Route* route =
+      cannotMove ? nullptr
+                 : FindSubmissionRoute(*document, *owned->m_run.m_submission);
+    if (route == nullptr) {
       continue;
     }
-    const PoolView& view =
-      views.FindOrAdd(pool, owned->m_run.m_submission->m_weights);
-    for (const size_t item : FindItemsToMove(owned->m_run, view.m_engines)) {
-      const auto active = owned->m_activeRequests.find(item);
-      if (active == owned->m_activeRequests.end()) {
-        continue;
+    for (const configuration::WeightedService& target : route->m_services) {
+      const auto pool =
+        m_relay->UpstreamRouter().FindPool(target.m_service.m_value);
+      if (pool) {
+        MoveItemsOfPool(
+          owned, views.FindOrAdd(pool, owned->m_run.m_submission->m_weights));
       }
-      kernel::LogEvent(
-        kernel::LogLevel::Info,
-        "batches",
-        "run-moved",
-        { { "batch", id },
-          { "item", owned->m_run.m_submission->m_items[item].m_id.m_value },
-          { "from", owned->m_run.m_items[item].m_lastEngine.m_value } });
-      m_context.Metrics().Get("batches.runs_moved").Add();
-      asio::post(m_context.Traffic().Loop(active->second.m_loop),
-                 [abort = active->second.m_abort] { abort->RequestAbort(); });
-      owned->m_activeRequests.erase(active);
     }
   }
 }
 
+void
+Batches::MoveItemsOfPool(const OwnedPtr& aOwned, const PoolView& aView)
+{
+  for (const size_t item : FindItemsToMove(aOwned->m_run, aView.m_engines)) {
+    const auto active = aOwned->m_activeRequests.find(item);
+    if (active == aOwned->m_activeRequests.end()) {
+      continue;
+    }
+    const BatchRun& run = aOwned->m_run;
+    kernel::LogEvent(kernel::LogLevel::Info,
+                     "batches",
+                     "run-moved",
+                     { { "batch", aOwned->m_id.m_value },
+                       { "item", run.m_submission->m_items[item].m_id.m_value },
+                       { "from", run.m_items[item].m_lastEngine.m_value } });
+    m_context.Metrics().Get("batches.runs_moved").Add();
+    asio::post(m_context.Traffic().Loop(active->second.m_loop),
+               [abort = active->second.m_abort] { abort->RequestAbort(); });
+    aOwned->m_activeRequests.erase(active);
+  }
+}
+
 void
 Batches::StartItem(const OwnedPtr& aOwned,
                    const ItemStart& aStart,
--- a/src/configuration/decisions/document.cpp
+++ b/src/configuration/decisions/document.cpp
@@ -1,6 +1,7 @@
 #include "configuration/document.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 #include "core/overloaded.h"
@@ -17,6 +18,23 @@
   return "$.jobs[" + std::to_string(aIndex) + "]." + std::string(aField);
 }
 
+/// Returns a position below aTotal; aTotal consecutive sequence numbers reach
+/// each position once, and neighbours lie far apart.
+uint64_t
+SpreadPosition(uint64_t aSequenceNumber, uint64_t aTotal)
+{
+  if (aTotal == 0) {
+    return 0;
+  }
+  constexpr double kGoldenSection = 0.618;
+  uint64_t stride = std::max<uint64_t>(
+    1, static_cast<uint64_t>(kGoldenSection * static_cast<double>(aTotal)));
+  while (std::gcd(stride, aTotal) != 1) {
+    stride += 1;
+  }
+  return (aSequenceNumber % aTotal) * stride % aTotal;
+}
+
 void
 ValidateUniqueNames(const Document& aDocument, Errors& aErrors)
 {
@@ -104,18 +122,34 @@
 const core::ServiceId&
 ChooseService(const Route& aRoute, uint64_t aSequenceNumber)
 {
+  const core::ServiceId* chosen =
+    ChooseServiceExcept(aRoute, aSequenceNumber, {});
+  return chosen == nullptr ? aRoute.m_services.front().m_service : *chosen;
+}
+
+const core::ServiceId*
+ChooseServiceExcept(const Route& aRoute,
+                    uint64_t aSequenceNumber,
+                    std::span<const core::ServiceId> aExcluded)
+{
+  const auto isExcluded = [&](const WeightedService& aTarget) {
+    return std::ranges::find(aExcluded, aTarget.m_service) != aExcluded.end();
+  };
   uint64_t totalWeight = 0;
   for (const WeightedService& target : aRoute.m_services) {
-    totalWeight += target.m_weight;
+    totalWeight += isExcluded(target) ? 0 : target.m_weight;
   }
-  uint64_t position = totalWeight == 0 ? 0 : aSequenceNumber % totalWeight;
+  uint64_t position = SpreadPosition(aSequenceNumber, totalWeight);
   for (const WeightedService& target : aRoute.m_services) {
+    if (isExcluded(target)) {
+      continue;
+    }
     if (position < target.m_weight) {
-      return target.m_service;
+      return &target.m_service;
     }
     position -= target.m_weight;
   }
-  return aRoute.m_services.front().m_service;
+  return nullptr;
 }
 
 const Service*
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -186,10 +187,17 @@
           std::string_view aPath);
 
 /// Returns the service that receives a request. Consecutive sequence numbers
-/// are distributed over the services in proportion to their weights.
+/// alternate between the services in proportion to their weights.
 const core::ServiceId&
 ChooseService(const Route& aRoute, uint64_t aSequenceNumber);
 
+/// Returns the service that receives a request among those that aExcluded does
+/// not contain, or null if none of them has a weight.
+const core::ServiceId*
+ChooseServiceExcept(const Route& aRoute,
+                    uint64_t aSequenceNumber,
+                    std::span<const core::ServiceId> aExcluded);
+
 /// Returns the service with the given name, or null if there is none.
 const Service*
 FindService(const Document& aDocument, const core::ServiceId& aName);
--- a/src/configuration/tests/routetest.cpp
+++ b/src/configuration/tests/routetest.cpp
@@ -1,6 +1,7 @@
 #include "configuration/documentjson.h"
 
 #include <map>
+#include <set>
 
 #include "catch2/catch.hpp"
 
@@ -67,6 +68,21 @@
   CHECK(counts["z"] == 100);
 }
 
+// Guards against a call whose attempts all go to the same service of its split
+// route.
+TEST_CASE("successive attempts alternate between the services of a route")
+{
+  Route route = MakeRoute("r", "a", "/");
+  route.m_services = { { { "x" }, 50 }, { { "y" }, 50 } };
+  for (uint64_t sequenceNumber = 0; sequenceNumber < 400; ++sequenceNumber) {
+    std::set<std::string> services;
+    for (uint64_t attempt = 0; attempt < 3; ++attempt) {
+      services.insert(ChooseService(route, sequenceNumber + attempt).m_value);
+    }
+    CHECK(services.size() == 2);
+  }
+}
+
 TEST_CASE("routes and limits round-trip through JSON")
 {
   const Document document = DocumentWithThreeRoutes();
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -229,10 +229,21 @@
 core::ServiceId
 Relay::ChooseService(const RoutedCall& aCall, const CallState& aState)
 {
-  return aState.m_requiredSoftware
-           ? aState.m_requiredSoftware->m_service
-           : configuration::ChooseService(aCall.m_route,
-                                          m_nextSequence.fetch_add(1));
+  if (aState.m_requiredSoftware) {
+    return aState.m_requiredSoftware->m_service;
+  }
+  const uint64_t sequence = m_nextSequence.fetch_add(1);
+  // A service that has lost its upstreams leaves its share to the others.
+  std::vector<core::ServiceId> withoutUpstreams;
+  while (const core::ServiceId* service = configuration::ChooseServiceExcept(
+           aCall.m_route, sequence, withoutUpstreams)) {
+    const auto pool = m_router->FindPool(service->m_value);
+    if (pool && routing::HasStayingUpstream(*pool)) {
+      return *service;
+    }
+    withoutUpstreams.push_back(*service);
+  }
+  return configuration::ChooseService(aCall.m_route, sequence);
 }
 
 absl::StatusOr<std::shared_ptr<const routing::Pool>>
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -120,6 +120,14 @@
   return { XXH64(id.data(), id.size(), aUpstream.m_stats->m_incarnation) };
 }
 
+bool
+HasStayingUpstream(const Pool& aPool)
+{
+  return std::ranges::any_of(aPool.m_upstreams, [](const Upstream& aUpstream) {
+    return !aUpstream.m_leaving && !aUpstream.m_stats->m_leaving.load();
+  });
+}
+
 std::shared_ptr<const Pool>
 SelectSoftware(const Pool& aPool, const core::Software& aSoftware)
 {
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -111,6 +111,10 @@
   std::shared_ptr<ServiceDemand> m_demand = std::make_shared<ServiceDemand>();
 };
 
+/// True if the pool has an upstream that does not leave.
+bool
+HasStayingUpstream(const Pool& aPool);
+
 /// Returns the pool with only those upstreams that run the software and do not
 /// leave. They keep their statistics.
 std::shared_ptr<const Pool>
