Load batches only once a configuration is known

Cause: a host that starts in an outage may learn of its batches before it learns a configuration. It then took a default policy, which allows several versions, and kept it. A newer configuration did not change the policy of a batch either.

Each configuration puts the policy of its route into force, and texts that it does not allow are generated again. A batch whose route is not known gets the strict policy.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -160,6 +160,7 @@
   struct OwnedBatch
   {
     BatchId m_id;
+    core::Instant m_acceptedAt{};
     bool m_loading = false;
     bool m_loaded = false;
     BatchRun m_run;
@@ -307,7 +308,14 @@
   void StoreCheckpoint(const OwnedPtr& aOwned);
   void AbortActiveRequests(OwnedBatch& aOwned);
   void AnswerPendingReads(OwnedBatch& aOwned);
-  BatchPolicy MakePolicy(const Submission& aSubmission) const;
+  BatchPolicy MakePolicy(const OwnedBatch& aOwned,
+                         const Submission& aSubmission) const;
+  /// Returns the monotonic time of a past wall-clock time. The wall clock is
+  /// read only here; deadlines use the monotonic clock.
+  static core::Instant ToMonotonic(int64_t aUnixMilliseconds);
+  /// Loads the batches that waited for a configuration, and puts the policies
+  /// of their routes into force.
+  void HandleConfiguration(const configuration::Document& aDocument);
   bool IsOwned(const OwnedPtr& aOwned) const;
   bool IsEnded(std::string_view aBatch) const;
 
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -210,6 +210,12 @@
 MakeBatchRun(std::shared_ptr<const Submission> aSubmission,
              BatchPolicy aPolicy);
 
+/// Puts another policy into force, for example of a newer configuration. Texts
+/// that are not results yet are generated again if it does not allow their
+/// versions.
+void
+ApplyPolicy(BatchRun& aRun, const BatchPolicy& aPolicy, core::Instant aNow);
+
 /// Adds a stored chunk to the durable results. Chunks must be added in the
 /// order of their numbers.
 void
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -223,6 +223,22 @@
   return run;
 }
 
+void
+ApplyPolicy(BatchRun& aRun, const BatchPolicy& aPolicy, core::Instant aNow)
+{
+  aRun.m_policy = aPolicy;
+  for (ItemState& item : aRun.m_items) {
+    // A run in flight is judged when it ends.
+    const bool isFinalOrRunning =
+      IsDone(item) || std::holds_alternative<ItemRunning>(item.m_phase);
+    if (isFinalOrRunning || HasUsableVersions(aRun, item)) {
+      continue;
+    }
+    ResetText(item);
+    RetryItem(item, aNow);
+  }
+}
+
 bool
 IsLongItem(const BatchRun& aRun, size_t aItem)
 {
--- a/src/batches/internal/accepting.cpp
+++ b/src/batches/internal/accepting.cpp
@@ -177,7 +177,8 @@
   const std::string& id = aSubmission->m_id.m_value;
   auto owned = std::make_shared<OwnedBatch>();
   owned->m_id = aSubmission->m_id;
-  owned->m_run = MakeBatchRun(aSubmission, MakePolicy(*aSubmission));
+  owned->m_acceptedAt = ToMonotonic(aSubmission->m_acceptedAt);
+  owned->m_run = MakeBatchRun(aSubmission, MakePolicy(*owned, *aSubmission));
   const bool inserted = m_owned.emplace(id, owned).second;
   Placement placement;
   placement.m_batch = aSubmission->m_id;
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -49,8 +49,9 @@
                  });
   m_context.Get<objectstore::Hosts>()->Subscribe(
     [self](std::span<const objectstore::HostEntry>) { self->RunDueWork(); });
-  m_configuration->Subscribe(
-    [self](const configuration::Document&) { self->RunDueWork(); });
+  m_configuration->Subscribe([self](const configuration::Document& aDocument) {
+    self->HandleConfiguration(aDocument);
+  });
   m_housekeepingTimer.Set(kernel::Now() + kHousekeepingInterval);
 }
 
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -19,7 +19,9 @@
 void
 Batches::EnsureLoading(const OwnedPtr& aOwned)
 {
-  if (aOwned->m_loading) {
+  // The policy of a batch is that of its route; HandleConfiguration continues.
+  const bool isConfigured = m_configuration->Read()->m_generation > 0;
+  if (aOwned->m_loading || !isConfigured) {
     return;
   }
   aOwned->m_loading = true;
@@ -65,7 +67,8 @@
         return;
       }
       auto shared = std::make_shared<const Submission>(*std::move(submission));
-      aOwned->m_run = MakeBatchRun(shared, self->MakePolicy(*shared));
+      aOwned->m_acceptedAt = ToMonotonic(shared->m_acceptedAt);
+      aOwned->m_run = MakeBatchRun(shared, self->MakePolicy(*aOwned, *shared));
       self->LoadChunk(aOwned, 0);
     });
 }
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -67,9 +67,14 @@
 }
 
 BatchPolicy
-Batches::MakePolicy(const Submission& aSubmission) const
+Batches::MakePolicy(const OwnedBatch& aOwned,
+                    const Submission& aSubmission) const
 {
   BatchPolicy policy;
+  policy.m_shortItemsStartAt = aOwned.m_run.m_policy.m_shortItemsStartAt;
+  // Without a route no item starts. Until the route is known, no text that it
+  // may not allow is taken over either.
+  policy.m_singleVersion = true;
   core::Duration itemTimeout = kDefaultItemTimeout;
   const auto document = m_configuration->Read();
   const configuration::Route* route =
@@ -82,18 +87,39 @@
       policy.m_singleVersion = kind->m_singleVersion;
     }
   }
-  // The wall clock is read only here, to get the age of the batch; from then on
-  // deadlines use the monotonic clock.
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  const auto accepted = std::chrono::milliseconds(aSubmission.m_acceptedAt);
-  const auto age = std::max(core::Duration::zero(),
-                            std::chrono::duration_cast<core::Duration>(wall) -
-                              core::Duration(accepted));
-  policy.m_itemDeadline =
-    kernel::Now() + itemTimeout - std::min(age, itemTimeout);
+  policy.m_itemDeadline = aOwned.m_acceptedAt + itemTimeout;
   return policy;
 }
 
+core::Instant
+Batches::ToMonotonic(int64_t aUnixMilliseconds)
+{
+  const int64_t ageMs =
+    std::max<int64_t>(0, kernel::UnixMilliseconds() - aUnixMilliseconds);
+  return kernel::Now() - std::chrono::milliseconds(ageMs);
+}
+
+void
+Batches::HandleConfiguration(const configuration::Document& aDocument)
+{
+  const auto owned = m_owned;
+  for (const auto& [id, batch] : owned) {
+    if (!batch->m_loaded) {
+      // An ended batch is loaded only when a caller asks for it.
+      if (!IsEnded(id)) {
+        EnsureLoading(batch);
+      }
+      continue;
+    }
+    const Submission& submission = *batch->m_run.m_submission;
+    // The policy of a route that was removed stays in force.
+    if (FindSubmissionRoute(aDocument, submission) != nullptr) {
+      ApplyPolicy(batch->m_run, MakePolicy(*batch, submission), kernel::Now());
+    }
+  }
+  RunDueWork();
+}
+
 void
 Batches::RunDueWork()
 {
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -150,6 +150,31 @@
   CHECK(AdoptCheckpoint(single, checkpoint) == 0);
 }
 
+// Guards against texts of several versions where the configuration that forbids
+// them comes after them (VERSION).
+TEST_CASE("texts that a newer policy does not allow are generated again")
+{
+  BatchRun run = MakeTestRun(3, true);
+  const RunReport mixed{ RunCompleted{}, "text", 30, { { 5 }, { 6 } } };
+  const size_t unscored = RunNextItem(run, mixed, At(0));
+  const size_t allowed =
+    RunNextItem(run, MakeReport(RunCompleted{}, "text", 30), At(0));
+  const size_t interrupted =
+    RunNextItem(run, { RunInterrupted{}, "te", 20, { { 5 }, { 6 } } }, At(0));
+  BatchPolicy policy = run.m_policy;
+  policy.m_singleVersion = true;
+  policy.m_itemDeadline = At(9'000);
+  ApplyPolicy(run, policy, At(1));
+  for (const size_t item : { unscored, interrupted }) {
+    CHECK(std::holds_alternative<ItemWaiting>(run.m_items[item].m_phase));
+    CHECK(run.m_items[item].m_eventCount == 0);
+    CHECK(run.m_items[item].m_versions.empty());
+  }
+  CHECK(
+    std::holds_alternative<ItemAwaitingScore>(run.m_items[allowed].m_phase));
+  CHECK(FindNextDeadline(run, At(1)) <= At(9'000));
+}
+
 TEST_CASE("progress of a run that is not the current one is ignored")
 {
   BatchRun run = MakeTestRun(1);
