Never read a late copy of an answer as the answer to the next request

Upstreams that stutter may answer twice, the second time late, where the next response on the connection is expected.

Cause, shown with a stand-in that does so (StutteringServer): the id alone tells a late copy from the answer, and an item keeps its id over all its runs and all its scoring requests. A kept connection that had carried one of them could carry the next, whose answer was then the copy: a 500 counted twice, and the item was lost before its attempts were used up. An answer without an id was taken as the answer to any request.

A connection does not carry the id of any of its last 16 requests again. The load that a foreign answer names is no longer recorded.

--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -199,6 +199,7 @@
     sendContext.m_resumeAfter = aTask.m_resumeAfter;
   }
   relay::CodecInUse().m_encodeRequest(aTask.m_request, sendContext);
+  aTask.m_request.m_repeatedId = aTask.m_itemId;
   const core::Instant limit =
     std::min(aTask.m_deadline, kernel::Now() + kFirstEventTimeout);
   auto opened = co_await aClient.OpenStream(engine.m_endpoint,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -118,9 +118,11 @@
                       Request aRequest,
                       core::Instant aDeadline,
                       std::shared_ptr<CallAbort> aAbort);
-  /// Removes a usable idle connection from the pool; nullptr if there is none.
+  /// Removes a usable idle connection from the pool that has not carried a
+  /// request with this id; nullptr if there is none.
   std::unique_ptr<PooledConnection> TakeIdleConnection(
-    const core::Endpoint& aPeer);
+    const core::Endpoint& aPeer,
+    std::string_view aRepeatedId);
 
   kernel::Context& m_context;
   size_t m_loopIndex;
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -177,9 +177,10 @@
 }
 
 ResponseHead
-ToResponseHead(const beast::http::response_header<>& aHeader)
+ToResponseHead(const beast::http::response_header<>& aHeader, bool aIsUsed)
 {
   ResponseHead head;
+  head.m_isOnUsedConnection = aIsUsed;
   head.m_status = aHeader.result_int();
   for (const auto& field : aHeader) {
     head.m_headers.push_back(
@@ -200,6 +201,7 @@
       core::DeadlineExceeded{ ToText(aConnection.m_peer), core::Executed::No });
   }
   auto message = ToBeastRequest(aRequest, aConnection.m_peer);
+  aConnection.RememberId(aRequest.m_repeatedId);
   boost::system::error_code error;
   aConnection.m_stream.expires_at(kernel::ToSteady(aDeadline));
   co_await beast::http::async_write(
@@ -220,7 +222,8 @@
       co_return FailureAfterSending(aConnection.m_peer, error);
     }
     if (aConnection.m_parser->get().result_int() >= kFirstFinalStatus) {
-      co_return ToResponseHead(aConnection.m_parser->get());
+      co_return ToResponseHead(aConnection.m_parser->get(),
+                               std::exchange(aConnection.m_isUsed, true));
     }
   }
   co_return core::ToStatus(core::ConnectionFailed{ ToText(aConnection.m_peer),
@@ -361,22 +364,31 @@
 Client::~Client() = default;
 
 std::unique_ptr<PooledConnection>
-Client::TakeIdleConnection(const core::Endpoint& aPeer)
+Client::TakeIdleConnection(const core::Endpoint& aPeer,
+                           std::string_view aRepeatedId)
 {
   const auto found = m_idleConnections.find(aPeer);
   if (found == m_idleConnections.end()) {
     return nullptr;
   }
   auto& idle = found->second;
-  while (!idle.empty()) {
-    std::unique_ptr<PooledConnection> connection = std::move(idle.back());
-    idle.pop_back();
+  const auto mayCarry = [aRepeatedId](const auto& aConnection) {
+    const auto& ids = aConnection->m_carriedIds;
+    return aRepeatedId.empty() ||
+           std::ranges::find(ids, aRepeatedId) == ids.end();
+  };
+  for (;;) {
+    const auto last = std::find_if(idle.rbegin(), idle.rend(), mayCarry);
+    if (last == idle.rend()) {
+      return nullptr;
+    }
+    std::unique_ptr<PooledConnection> connection = std::move(*last);
+    idle.erase(std::next(last).base());
     if (connection->m_reusableUntil > kernel::Now() &&
         IsReusable(*connection)) {
       return connection;
     }
   }
-  return nullptr;
 }
 
 void
@@ -436,7 +448,8 @@
                    std::shared_ptr<CallAbort> aAbort)
 {
   std::unique_ptr<PooledConnection> idle =
-    aReuse == Reuse::Allowed ? TakeIdleConnection(aPeer) : nullptr;
+    aReuse == Reuse::Allowed ? TakeIdleConnection(aPeer, aRequest.m_repeatedId)
+                             : nullptr;
   if (!idle) {
     co_return co_await OpenOnNewConnection(
       std::move(aPeer), std::move(aRequest), aDeadline, std::move(aAbort));
--- a/src/http/internal/pooledconnection.h
+++ b/src/http/internal/pooledconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <optional>
 
@@ -16,6 +17,9 @@
 /// or a trailer, besides the body that arrived with it.
 inline constexpr size_t kMaxUnparsedBytes = 64UL * 1024;
 
+/// The number of requests after which no late copy of a response is expected.
+inline constexpr size_t kMaxCarriedIds = 16;
+
 /// A connection to a peer. At most one request is in flight on it.
 class PooledConnection
 {
@@ -38,6 +42,21 @@
   std::optional<
     boost::beast::http::response_parser<boost::beast::http::buffer_body>>
     m_parser;
+  /// Adds the id of a request that is sent on the connection.
+  void RememberId(std::string aId)
+  {
+    if (aId.empty()) {
+      return;
+    }
+    m_carriedIds.push_back(std::move(aId));
+    if (m_carriedIds.size() > kMaxCarriedIds) {
+      m_carriedIds.pop_front();
+    }
+  }
+
+  /// The ids of the last requests that the connection carried.
+  std::deque<std::string> m_carriedIds;
+  bool m_isUsed = false;
   /// End of the time during which the idle connection may be reused.
   core::Instant m_reusableUntil{};
 };
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -23,6 +23,10 @@
   std::string m_target = "/";
   std::vector<Header> m_headers;
   std::string m_body;
+  /// The id that the response repeats; "" if it repeats none. The client does
+  /// not send a request on a connection that has carried its id before: a late
+  /// copy of the earlier response could not be told from the response to it.
+  std::string m_repeatedId;
 };
 
 /// Status code and headers of a response.
@@ -30,6 +34,9 @@
 {
   uint32_t m_status = 200;
   std::vector<Header> m_headers;
+  /// Set by the client if the connection carried other requests before. The
+  /// response may then be a late copy of one to them.
+  bool m_isOnUsedConnection = false;
   /// Set by the client if it sent the request before, on a connection that
   /// failed: the peer may have executed it, whatever this response says.
   bool m_isOfSecondTry = false;
--- a/src/http/tests/crashingserver.cpp
+++ b/src/http/tests/crashingserver.cpp
@@ -68,9 +68,16 @@
       Crash();
       co_return;
     }
+    std::string response = m_response;
+    const size_t placeholder = response.find(kIdPlaceholder);
+    if (placeholder != std::string::npos) {
+      response.replace(placeholder,
+                       kIdPlaceholder.size(),
+                       FindRawHeader(request, "Request-Id"));
+    }
     co_await asio::async_write(
       *aSocket,
-      asio::buffer(m_response),
+      asio::buffer(response),
       asio::redirect_error(asio::use_awaitable, error));
   }
 }
--- a/src/http/tests/crashingserver.h
+++ b/src/http/tests/crashingserver.h
@@ -28,11 +28,13 @@
 };
 
 /// A server with persistent connections that crashes when it receives a request
-/// that contains kCrashMarker. It answers all others with a fixed response.
+/// that contains kCrashMarker. It answers all others with a fixed response, in
+/// which kIdPlaceholder stands for the request's id.
 class CrashingServer
 {
 public:
   static constexpr std::string_view kCrashMarker = "crash-the-server";
+  static constexpr std::string_view kIdPlaceholder = "{id}";
 
   CrashingServer(std::string aResponse, CrashMode aMode);
   ~CrashingServer();
--- a/src/http/tests/loopback.cpp
+++ b/src/http/tests/loopback.cpp
@@ -97,8 +97,27 @@
   return response;
 }
 
+std::string
+FindRawHeader(std::string_view aRequest, std::string_view aName)
+{
+  const std::string start = "\r\n" + std::string(aName) + ": ";
+  const size_t found = aRequest.find(start);
+  if (found == std::string_view::npos) {
+    return "";
+  }
+  const size_t begin = found + start.size();
+  return std::string(
+    aRequest.substr(begin, aRequest.find("\r\n", begin) - begin));
+}
+
 RawServer::RawServer(std::string aResponse)
-  : m_response(std::move(aResponse))
+  : RawServer(
+      [response = std::move(aResponse)](std::string_view) { return response; })
+{
+}
+
+RawServer::RawServer(Responder aRespond)
+  : m_respond(std::move(aRespond))
   , m_acceptor(m_loop, LoopbackEndpoint(0))
   , m_thread([this] { AcceptConnections(); })
 {
@@ -129,8 +148,9 @@
     }
     m_accepted.fetch_add(1);
     std::array<char, 4096> request{};
-    socket.read_some(asio::buffer(request), error);
-    asio::write(socket, asio::buffer(m_response), error);
+    const size_t size = socket.read_some(asio::buffer(request), error);
+    const std::string response = m_respond({ request.data(), size });
+    asio::write(socket, asio::buffer(response), error);
     socket.shutdown(tcp::socket::shutdown_both, error);
   }
 }
--- a/src/http/tests/loopback.h
+++ b/src/http/tests/loopback.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -58,10 +59,20 @@
 void
 UnblockAccept(const boost::asio::ip::tcp::acceptor& aAcceptor);
 
-/// A server that responds to every connection with fixed bytes and closes it.
+/// Returns the value of a header in the bytes of a request; "" if it has none.
+std::string
+FindRawHeader(std::string_view aRequest, std::string_view aName);
+
+/// A server that responds once to every connection and closes it.
 class RawServer
 {
 public:
+  /// Returns the bytes of the response to the bytes of a request.
+  using Responder = std::function<std::string(std::string_view aRequest)>;
+
+  /// aRespond is called on a thread of the server.
+  explicit RawServer(Responder aRespond);
+  /// Always sends the same bytes.
   explicit RawServer(std::string aResponse);
   ~RawServer();
   RawServer(const RawServer&) = delete;
@@ -74,7 +85,7 @@
 private:
   void AcceptConnections();
 
-  std::string m_response;
+  Responder m_respond;
   boost::asio::io_context m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::atomic<int> m_accepted{ 0 };
--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -6,6 +6,7 @@
 
 #include "http/tests/crashingserver.h"
 #include "http/tests/loopback.h"
+#include "http/tests/stutteringserver.h"
 
 namespace heatherdeal::http {
 
@@ -264,6 +265,31 @@
   CHECK(CounterValue(loopback, "http.idle_connection_dead") == 0);
 }
 
+// Guards against a late copy of a response that is read as the response to the
+// next request with the same id.
+TEST_CASE("a request is not sent on a connection that has carried its id")
+{
+  StutteringServer server([](std::string_view aRequest) {
+    const std::string body = FindRawHeader(aRequest, "Ordinal");
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  });
+  Loopback loopback(SmallLimitSettings());
+  loopback.Listen();
+  const auto call = [&](std::string aOrdinal) {
+    Request request{ "GET", "/", { { "Ordinal", std::move(aOrdinal) } }, "" };
+    request.m_repeatedId = "id";
+    return loopback.Call(
+      server.Endpoint(), std::move(request), Reuse::Allowed, seconds(5));
+  };
+  for (const char* ordinal : { "1", "2", "3" }) {
+    const auto response = call(ordinal);
+    REQUIRE(response.ok());
+    CHECK(response->m_body == ordinal);
+  }
+  CHECK(server.LateCopies() == 0);
+}
+
 TEST_CASE("a late response is never read as the response to the next request")
 {
   Loopback loopback(SmallLimitSettings());
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -193,16 +193,16 @@
   const http::ResponseHead& head = aStream.Head();
   const DecodedHead decodedHead = CodecInUse().m_decodeHead(head, aCall.m_id);
   aReservation.ReportAnswer(kernel::Now());
-  ReportSignals(*m_limits, aReservation.Chosen(), decodedHead);
-  if (decodedHead.m_load) {
-    RecordLoad(aReservation, *decodedHead.m_load);
-  }
-  const auto* served = std::get_if<Served>(&decodedHead.m_outcome);
   if (std::holds_alternative<MismatchedResponse>(decodedHead.m_outcome)) {
     aStream.Abandon();
     co_return core::ToStatus(
       core::UnprovedResponse{ aReservation.Chosen().m_id.m_value });
   }
+  ReportSignals(*m_limits, aReservation.Chosen(), decodedHead);
+  if (decodedHead.m_load) {
+    RecordLoad(aReservation, *decodedHead.m_load);
+  }
+  const auto* served = std::get_if<Served>(&decodedHead.m_outcome);
   if (served == nullptr) {
     co_await aStream.DiscardBody();
     co_return core::ToStatus(
@@ -308,6 +308,7 @@
   const core::Instant deadline = AttemptDeadline(
     aCall.m_route, aState.m_retryProgress.m_attempts, now, aCall.m_deadline);
   http::Request request = aCall.m_request;
+  request.m_repeatedId = aCall.m_id;
   SendContext context;
   context.m_requestId = aCall.m_id;
   context.m_expectedInstance = reservation->Chosen().m_id;
