Count only an upstream's error 500 towards the attempts of an item

An item may be listed as lost after `maxAttempts` answers of 500, for its own runs or its scoring requests, or after one of 422.

Cause: each status that was no success counted, such as the 504 of a slow upstream at its time limit, and so did streams without end. Such an answer is only read where this host notices its own deadline late, as hosts with a tenth of a core do under load.

Other statuses now interrupt the run, or make the score unavailable; both are tried again. Output that no text may hold is thrown away, and generated again.

--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -155,11 +155,15 @@
 struct RunInterrupted
 {};
 
+/// The engine sent more than a text may hold.
+struct RunUnusable
+{};
+
 /// The engine did not accept the request.
 struct RunRefused
 {};
 
-/// The engine responded with an error status.
+/// The engine responded that the run failed.
 struct RunFailed
 {};
 
@@ -173,6 +177,7 @@
 
 using RunOutcome = std::variant<RunCompleted,
                                 RunInterrupted,
+                                RunUnusable,
                                 RunRefused,
                                 RunFailed,
                                 RunUnprocessable,
@@ -195,11 +200,11 @@
   std::string m_proof;
 };
 
-/// The scorer responded with an error status.
+/// The scorer responded that the request failed.
 struct ScoreFailed
 {};
 
-/// No scorer responded.
+/// No scorer responded, or with a status that says nothing of the item.
 struct ScoreUnavailable
 {};
 
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -115,6 +115,17 @@
   RetryItem(item, aNow + kInterruptionRetryDelay);
 }
 
+void
+HandleOutcome(BatchRun& aRun,
+              size_t aItem,
+              const RunUnusable&,
+              core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  ResetText(item);
+  RetryItem(item, aNow + kFailureRetryDelay);
+}
+
 void
 HandleOutcome(BatchRun& aRun,
               size_t aItem,
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -15,6 +15,7 @@
 
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kUnprocessable = 422;
+constexpr uint32_t kInternalError = 500;
 // Includes the time that a request may wait in the engine's queue.
 constexpr core::Duration kFirstEventTimeout = std::chrono::seconds(3);
 // Longer than a weight update pauses a stream.
@@ -56,6 +57,11 @@
   if (aStatus == kUnprocessable) {
     return RunUnprocessable{};
   }
+  // Other statuses say nothing of the item, so that they do not count towards
+  // its attempts.
+  if (aStatus != kInternalError) {
+    return RunInterrupted{};
+  }
   return RunFailed{};
 }
 
@@ -82,7 +88,7 @@
       }
     }
     if (m_parser.IsEventTooLarge() || m_textBytes > kMaxTextBytes) {
-      aReport.m_outcome = RunFailed{};
+      aReport.m_outcome = RunUnusable{};
       return false;
     }
     return true;
--- a/src/batches/internal/scoring.cpp
+++ b/src/batches/internal/scoring.cpp
@@ -14,6 +14,7 @@
 
 constexpr uint32_t kFirstSuccess = 200;
 constexpr uint32_t kFirstRedirection = 300;
+constexpr uint32_t kInternalError = 500;
 constexpr size_t kMaxScoreStartsPerPass = 32;
 
 ScoreOutcome
@@ -26,6 +27,11 @@
   if (status >= kFirstSuccess && status < kFirstRedirection) {
     return Scored{ aResponse->m_proof };
   }
+  // Other statuses say nothing of the item, so that they do not count towards
+  // its attempts.
+  if (status != kInternalError) {
+    return ScoreUnavailable{};
+  }
   return ScoreFailed{};
 }
 
