Continue a text whose answer ended without saying that it is complete

A stream that ends in the middle of an event is interrupted, however it ends. One without a length that ends after an event may be complete or not. It is resumed after its last event; a run that adds nothing confirms it. Answers with a length, or in chunks, cost nothing.

--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -69,6 +69,9 @@
   /// events; 0 if there is none yet.
   uint64_t m_eventCount = 0;
   std::vector<core::WeightVersion> m_versions;
+  /// True if the last run ended after the last event of the text without saying
+  /// whether the text is complete.
+  bool m_mayBeComplete = false;
   /// The number of events that are in a stored checkpoint.
   uint64_t m_checkpointedEvents = 0;
   uint32_t m_failedRuns = 0;
@@ -155,6 +158,11 @@
 struct RunInterrupted
 {};
 
+/// The stream ended with its connection after a complete event. Whether the
+/// text is complete shows when another run continues it.
+struct RunEndUnconfirmed
+{};
+
 /// The engine sent more than a text may hold.
 struct RunUnusable
 {};
@@ -177,6 +185,7 @@
 
 using RunOutcome = std::variant<RunCompleted,
                                 RunInterrupted,
+                                RunEndUnconfirmed,
                                 RunUnusable,
                                 RunRefused,
                                 RunFailed,
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -71,6 +71,7 @@
   aItem.m_text += aReport.m_text;
   aItem.m_eventCount = aReport.m_lastEvent;
   aItem.m_resumeUntil = {};
+  aItem.m_mayBeComplete = false;
   AddVersions(aItem.m_versions, aReport.m_versions);
 }
 
@@ -115,6 +116,22 @@
   RetryItem(item, aNow + kInterruptionRetryDelay);
 }
 
+void
+HandleOutcome(BatchRun& aRun,
+              size_t aItem,
+              const RunEndUnconfirmed&,
+              core::Instant aNow)
+{
+  ItemState& item = aRun.m_items[aItem];
+  // A single-version text is kept too: if it is complete, the next run adds
+  // nothing to it.
+  item.m_mayBeComplete = HasText(item);
+  if (!HasUsableVersions(aRun, item)) {
+    ResetText(item);
+  }
+  RetryItem(item, aNow + kInterruptionRetryDelay);
+}
+
 void
 HandleOutcome(BatchRun& aRun,
               size_t aItem,
--- a/src/batches/decisions/itemstate.cpp
+++ b/src/batches/decisions/itemstate.cpp
@@ -18,6 +18,7 @@
   aItem.m_checkpointedEvents = 0;
   aItem.m_versions.clear();
   aItem.m_resumeUntil = {};
+  aItem.m_mayBeComplete = false;
 }
 
 bool
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -72,6 +72,7 @@
   TextCollector(const ItemRunTask& aTask, core::WeightVersion aVersion)
     : m_reservation(*aTask.m_reservation)
     , m_parser(relay::CodecInUse().m_versionField)
+    , m_mayBeComplete(aTask.m_mayBeComplete)
     , m_nextEventId(aTask.m_resumeAfter + 1)
     , m_oldestAllowedVersion(aTask.m_oldestAllowedVersion)
     , m_version(aVersion)
@@ -94,6 +95,21 @@
     return true;
   }
 
+  /// Returns the outcome of a stream that has ended without an error.
+  RunOutcome OutcomeAtEnd(const http::ResponseStream& aStream) const
+  {
+    if (m_parser.IsInEvent()) {
+      return RunInterrupted{};
+    }
+    // A run that finds nothing to add confirms that the text was complete.
+    const bool confirmsEarlierRun =
+      m_mayBeComplete && m_lastEventAt == core::Instant{};
+    if (aStream.IsEndMarked() || confirmsEarlierRun) {
+      return RunCompleted{};
+    }
+    return RunEndUnconfirmed{};
+  }
+
   /// Returns when the last event became complete, or Instant{} if none did.
   core::Instant LastEventAt() const { return m_lastEventAt; }
 
@@ -134,6 +150,7 @@
   routing::UpstreamReservation& m_reservation;
   core::Instant m_lastEventAt{};
   relay::EventStreamParser m_parser;
+  bool m_mayBeComplete;
   uint64_t m_nextEventId;
   /// Size of the text that this run has generated.
   size_t m_textBytes = 0;
@@ -187,7 +204,10 @@
       nextReportAt = kernel::Now() + kProgressInterval;
     }
   }
-  aReport.m_outcome = RunCompleted{};
+  aReport.m_outcome = text.OutcomeAtEnd(aStream);
+  if (!std::holds_alternative<RunCompleted>(aReport.m_outcome)) {
+    LogRunEnd(aTask, "broken", "the stream ended without an end", aReport);
+  }
 }
 
 } // namespace
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,6 +38,9 @@
   void MarkSecondTry() { m_head.m_isOfSecondTry = true; }
   /// True if the response has been read completely.
   bool HasEnded() const;
+  /// True if the response itself tells where it ends. Otherwise it ends with
+  /// its connection, also if the peer broke off.
+  bool IsEndMarked() const;
   /// Closes the connection, to discard a response that is not the expected one.
   void Abandon();
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -287,6 +287,13 @@
   return m_connection->m_parser->is_done();
 }
 
+bool
+ResponseStream::IsEndMarked() const
+{
+  return m_connection->m_parser->chunked() ||
+         m_connection->m_parser->content_length().has_value();
+}
+
 asio::awaitable<void>
 ResponseStream::DiscardBody()
 {
--- a/src/relay/decisions/eventstream.cpp
+++ b/src/relay/decisions/eventstream.cpp
@@ -52,6 +52,7 @@
 EventStreamParser::ParseLine(std::string_view aLine,
                              std::vector<StreamEvent>& aEvents)
 {
+  m_isInEvent = !aLine.empty();
   if (aLine.empty()) {
     if (m_hasData) {
       aEvents.push_back(std::move(m_currentEvent));
--- a/src/relay/eventstream.h
+++ b/src/relay/eventstream.h
@@ -42,6 +42,9 @@
     return m_unparsed.size() + m_currentEvent.m_data.size() > kMaxEventBytes;
   }
 
+  /// True if an event has begun and is not complete yet.
+  bool IsInEvent() const { return m_isInEvent || !m_unparsed.empty(); }
+
 private:
   void ParseLine(std::string_view aLine, std::vector<StreamEvent>& aEvents);
   void ApplyField(std::string_view aName, std::string_view aValue);
@@ -50,6 +53,7 @@
   std::string m_unparsed;
   StreamEvent m_currentEvent;
   bool m_hasData = false;
+  bool m_isInEvent = false;
 };
 
 } // namespace heatherdeal::relay
--- a/src/relay/tests/eventstreamtest.cpp
+++ b/src/relay/tests/eventstreamtest.cpp
@@ -42,6 +42,20 @@
   CHECK(parser.ParseChunk("id: 2\ndata: tw").empty());
 }
 
+// Guards against a stream that breaks off and is taken as complete.
+TEST_CASE("a stream that ends in the middle of an event is noticed")
+{
+  for (size_t size = 0; size <= kStream.size(); ++size) {
+    INFO("size " << size);
+    EventStreamParser parser("weights");
+    parser.ParseChunk(kStream.substr(0, size));
+    const std::string_view received = kStream.substr(0, size);
+    const bool isAtBorder = received.empty() || received.ends_with("\n\n") ||
+                            received.ends_with("\r\n\r\n");
+    CHECK(parser.IsInEvent() != isAtBorder);
+  }
+}
+
 TEST_CASE("an event without end is noticed, in one line or in many")
 {
   const std::string part(64UL * 1024, 'x');
