Shut an earlier owner out of a batch before its successor lists results

Cause: an owner that has not heard of its successor went on listing results, by creating chunks. The successor met them only when its own next chunk conflicted; once the batch had ended, it wrote none, so that they were missing for good. The earlier owner also answered that there was nothing yet at positions which its successor had shown.

A host that loads a batch now creates an empty chunk under the next number before it runs the batch. The next write of an earlier owner conflicts with it; a host that meets a foreign chunk lists nothing until the store confirms that it still owns the batch.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -167,6 +167,15 @@
     /// The version of the checkpoint object; 0 if there is none.
     uint64_t m_checkpointVersion = 0;
     std::vector<PendingRead> m_pendingReads;
+    /// When the store was last asked whether this host owns the batch and has
+    /// confirmed it.
+    core::Instant m_confirmedAt{};
+    bool m_isConfirming = false;
+    /// Until when reads wait for the confirmation.
+    core::Instant m_confirmationWaitEnd{};
+    /// True if another host has listed results, until this host's ownership is
+    /// confirmed. No results are listed meanwhile.
+    bool m_isContested = false;
     /// Generation and scoring requests in flight, by item index.
     std::map<size_t, ActiveRequest> m_activeRequests;
   };
@@ -219,7 +228,7 @@
   void LoadItems(const OwnedPtr& aOwned);
   void LoadChunk(const OwnedPtr& aOwned, uint64_t aChunkNumber);
   /// Confirms with a strongly consistent read that the chunk does not exist,
-  /// then loads the checkpoint.
+  /// then seals the results.
   void ConfirmChunkMissing(const OwnedPtr& aOwned, uint64_t aChunkNumber);
   void HandleLoadedChunk(
     const OwnedPtr& aOwned,
@@ -237,6 +246,24 @@
   void ActivateBatch(const OwnedPtr& aOwned,
                      std::shared_ptr<const Submission> aSubmission);
 
+  // Changes of the owner; implemented in internal/ownership.cpp.
+  /// Creates an empty chunk after the loaded ones, which keeps an earlier owner
+  /// from listing results, then loads the checkpoint.
+  void SealResults(const OwnedPtr& aOwned);
+  /// True if the store has confirmed recently that this host owns the batch.
+  static bool IsOwnershipConfirmed(const OwnedBatch& aOwned,
+                                   core::Instant aNow);
+  /// Asks the store whether this host owns the batch.
+  void ConfirmOwnership(const OwnedPtr& aOwned);
+  /// Lists no further results until the ownership is confirmed.
+  void HandleContestedResults(const OwnedPtr& aOwned);
+  /// Answers the reads that are due with TemporarilyUnavailable.
+  static void RejectDueReads(OwnedBatch& aOwned, core::Instant aNow);
+  /// True if the read is to be answered even without results.
+  static bool IsDue(const OwnedBatch& aOwned,
+                    const PendingRead& aRead,
+                    core::Instant aNow);
+
   // Accepting submissions; implemented in internal/accepting.cpp.
 
   /// Reports the outcome to every caller that submitted this batch.
@@ -307,7 +334,7 @@
   /// Writes a checkpoint if one is due.
   void StoreCheckpoint(const OwnedPtr& aOwned);
   void AbortActiveRequests(OwnedBatch& aOwned);
-  void AnswerPendingReads(OwnedBatch& aOwned);
+  void AnswerPendingReads(const OwnedPtr& aOwned);
   BatchPolicy MakePolicy(const OwnedBatch& aOwned,
                          const Submission& aSubmission) const;
   /// Returns the monotonic time of a past wall-clock time. The wall clock is
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -78,7 +78,7 @@
     }
     owned->second->m_pendingReads.push_back(
       { aRequest.m_firstPosition, aRequest.m_waitUntil, std::move(aDone) });
-    AnswerPendingReads(*owned->second);
+    AnswerPendingReads(owned->second);
     RunDueWork();
     return;
   }
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -108,8 +108,10 @@
                     self->HandleLoadedChunk(aOwned, aChunkNumber, aObject);
                     return;
                   }
-                  if (self->IsOwned(aOwned)) {
+                  if (IsComplete(aOwned->m_run)) {
                     self->LoadCheckpoint(aOwned);
+                  } else {
+                    self->SealResults(aOwned);
                   }
                 });
 }
--- a/src/batches/internal/resultstorage.cpp
+++ b/src/batches/internal/resultstorage.cpp
@@ -45,6 +45,9 @@
 void
 Batches::StoreDueResults(const OwnedPtr& aOwned)
 {
+  if (aOwned->m_isContested) {
+    return;
+  }
   const std::optional<ResultChunk> chunk =
     StartNextChunk(aOwned->m_run, kernel::Now());
   if (chunk) {
@@ -111,25 +114,39 @@
         return;
       }
       ResolveChunkConflict(aOwned->m_run, *std::move(found), kernel::Now());
-      self->RunDueWork();
+      self->HandleContestedResults(aOwned);
     });
 }
 
 void
-Batches::AnswerPendingReads(OwnedBatch& aOwned)
+Batches::AnswerPendingReads(const OwnedPtr& aOwned)
 {
   const core::Instant now = kernel::Now();
+  const BatchRun& run = aOwned->m_run;
+  // An earlier owner must not say that there is nothing where its successor has
+  // shown a result.
+  const bool mayAnswerNothing =
+    IsComplete(run) || IsOwnershipConfirmed(*aOwned, now);
+  bool needsConfirmation = false;
   std::vector<PendingRead> pendingReads =
-    std::exchange(aOwned.m_pendingReads, {});
+    std::exchange(aOwned->m_pendingReads, {});
   for (PendingRead& pending : pendingReads) {
-    const bool ready =
-      aOwned.m_run.m_durableResults.size() > pending.m_firstPosition ||
-      pending.m_expiresAt <= now || aOwned.m_run.m_ended;
-    if (!ready) {
-      aOwned.m_pendingReads.push_back(std::move(pending));
+    const bool hasResults =
+      run.m_durableResults.size() > pending.m_firstPosition;
+    const bool isDue = IsDue(*aOwned, pending, now);
+    if (hasResults || (isDue && mayAnswerNothing)) {
+      pending.m_done(MakePage(run, pending.m_firstPosition));
       continue;
     }
-    pending.m_done(MakePage(aOwned.m_run, pending.m_firstPosition));
+    needsConfirmation = needsConfirmation || isDue;
+    aOwned->m_pendingReads.push_back(std::move(pending));
+  }
+  if (!needsConfirmation) {
+    return;
+  }
+  ConfirmOwnership(aOwned);
+  if (aOwned->m_isConfirming && aOwned->m_confirmationWaitEnd <= now) {
+    RejectDueReads(*aOwned, now);
   }
 }
 
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -137,7 +137,9 @@
       }
     }
     for (const PendingRead& pending : batch->m_pendingReads) {
-      next = std::min(next, pending.m_expiresAt);
+      next = std::min(next,
+                      IsDue(*batch, pending, now) ? batch->m_confirmationWaitEnd
+                                                  : pending.m_expiresAt);
     }
   }
   if (next != core::Instant::max()) {
@@ -162,7 +164,7 @@
   MarkOverdueItemsLost(aOwned->m_run, kernel::Now());
   StartScoreRequests(aOwned);
   StoreDueResults(aOwned);
-  AnswerPendingReads(*aOwned);
+  AnswerPendingReads(aOwned);
 }
 
 void
