Send long polls again once the store answers after a silence

Cause: only the poll itself could show that it was lost. Other calls of the host failed, and succeeded again once the store was back.

The transport notices that a call gets an answer after one that got none, and the watches send the long polls in flight again, at most once a second each.

--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -41,6 +41,8 @@
 // Delay before the store is called directly again, after it has rejected this
 // host and a list was read through another one.
 constexpr core::Duration kRejectedRetryDelay = std::chrono::milliseconds(300);
+// While answers are lost, the store falls silent and recovers all the time.
+constexpr core::Duration kLongPollRestartInterval = std::chrono::seconds(1);
 constexpr uint32_t kUnavailable = 503;
 
 /// True if a relay responded that it cannot reach the store.
@@ -205,6 +207,17 @@
   }
 }
 
+void
+KindWatch::RestartLongPoll()
+{
+  if (!m_isLongPolling || kernel::Now() < m_nextRestartAt) {
+    return;
+  }
+  m_nextRestartAt = kernel::Now() + kLongPollRestartInterval;
+  m_context.Metrics().Get("objectstore.long_polls_restarted").Add();
+  m_callAbort->RequestAbort();
+}
+
 asio::awaitable<void>
 KindWatch::RunWatchLoop()
 {
@@ -219,7 +232,10 @@
     const auto* relay = std::get_if<RelaySource>(&source);
     m_isPollingRelay = relay != nullptr;
     const bool isRelist = m_relistPending && m_revision.has_value();
+    m_isLongPolling =
+      relay == nullptr && request.m_maxWait > core::Duration::zero();
     absl::StatusOr<ObjectList> list = co_await RequestList(source, request);
+    m_isLongPolling = false;
     const bool wasAborted = m_callAbort->IsAbortRequested();
     if (!list.ok() && wasAborted) {
       continue;
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -79,6 +79,10 @@
   /// polls a relay, which will report the change itself.
   void RelistIfOlderThan(uint64_t aRevision);
 
+  /// Sends the long poll in flight to the store again, because it may have been
+  /// lost in a silence of the store.
+  void RestartLongPoll();
+
   /// Sets the hosts to poll instead of the store. Any thread.
   void SetWatchRelays(std::vector<core::Endpoint> aRelays);
 
@@ -155,6 +159,10 @@
   bool m_relistPending = false;
   /// True if the request in flight goes to a relay.
   bool m_isPollingRelay = false;
+  /// True while a long poll of the store is in flight.
+  bool m_isLongPolling = false;
+  /// The earliest time at which a long poll is sent again.
+  core::Instant m_nextRestartAt{};
   kernel::Published<std::vector<core::Endpoint>> m_relays;
   /// The relays that failed, with the earliest time of the next attempt.
   std::map<core::Endpoint, core::Instant> m_failedRelayRetryAt;
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -265,6 +265,14 @@
     const std::scoped_lock lock(m_mutex);
     m_watches[watchedKind] = watch;
   }
+  asio::post(m_context.Traffic().Loop(kLoopIndex),
+             [transport = m_transport, weak = std::weak_ptr(watch)] {
+               transport->SubscribeRecovery([weak] {
+                 if (const auto locked = weak.lock()) {
+                   locked->RestartLongPoll();
+                 }
+               });
+             });
   asio::co_spawn(m_context.Traffic().Loop(kLoopIndex),
                  watch->RunWatchLoop(),
                  asio::detached);
--- a/src/objectstore/internal/storetransport.cpp
+++ b/src/objectstore/internal/storetransport.cpp
@@ -120,12 +120,30 @@
     endpoint, std::move(request), http::Reuse::Allowed, aDeadline);
   absl::StatusOr<http::Response> response = CheckSecondTry(std::move(received));
   m_context.Metrics().Latency("objectstore.call").Add(kernel::Now() - sentAt);
+  RecordAnswer(response);
   const std::string outcome =
     response.ok() ? std::to_string(response->m_head.m_status) : "unanswered";
   m_context.Metrics().Get("objectstore.answer_" + outcome).Add();
   co_return response;
 }
 
+void
+StoreTransport::RecordAnswer(const absl::StatusOr<http::Response>& aResponse)
+{
+  if (!aResponse.ok()) {
+    m_isSilent = true;
+    return;
+  }
+  const bool hasRecovered =
+    IsDefinitiveResponse(aResponse) && std::exchange(m_isSilent, false);
+  if (!hasRecovered) {
+    return;
+  }
+  for (const std::function<void()>& onRecovered : m_onRecovered) {
+    onRecovered();
+  }
+}
+
 asio::awaitable<absl::StatusOr<http::Response>>
 StoreTransport::SendViaRelays(const http::Request& aRequest,
                               core::Instant aDeadline)
--- a/src/objectstore/internal/storetransport.h
+++ b/src/objectstore/internal/storetransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -41,6 +42,13 @@
   /// Forwards a request of another host directly to the store.
   boost::asio::awaitable<void> ForwardRelayedCall(http::Exchange& aExchange);
 
+  /// Calls aOnRecovered each time the store answers again after a call that got
+  /// no answer.
+  void SubscribeRecovery(std::function<void()> aOnRecovered)
+  {
+    m_onRecovered.push_back(std::move(aOnRecovered));
+  }
+
   /// Sets the hosts to relay through. Any thread.
   void SetCallRelays(std::vector<core::Endpoint> aRelays);
 
@@ -48,6 +56,8 @@
   boost::asio::awaitable<absl::StatusOr<http::Response>> SendDirect(
     const http::Request& aRequest,
     core::Instant aDeadline);
+  /// Notices whether the store has fallen silent or answers again.
+  void RecordAnswer(const absl::StatusOr<http::Response>& aResponse);
   boost::asio::awaitable<absl::StatusOr<http::Response>> SendViaRelays(
     const http::Request& aRequest,
     core::Instant aDeadline);
@@ -61,6 +71,9 @@
   core::Instant m_directRetryAt{};
   core::Instant m_relayRetryAt{};
   core::Instant m_nextProbeAt{};
+  /// True if the last direct call got no answer.
+  bool m_isSilent = false;
+  std::vector<std::function<void()>> m_onRecovered;
   kernel::Published<std::vector<core::Endpoint>> m_relays;
 };
 
