Keep a rollout host until another one can own its batches

A retired host hands its batches over only while another rollout host stays, and reports itself as empty once others own all open batches. Until then it says that it is running, and goes on owning and serving them; `retirement-blocked` and `batches.retirement_blocked` say why. Where all hosts leave, those own the batches.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -123,6 +123,12 @@
   /// ones. Calls aDone when all writes have finished. May be called again to
   /// retry the writes that failed.
   void HandOver(HandOverCallback aDone);
+  /// True if a host that stays could own the batches of this one.
+  bool HasSuccessor() const;
+  /// True if no host owns an open batch that is known here.
+  bool HasOrphans() const;
+  /// Owns and accepts batches again after HandOver.
+  void ResumeOwning();
   /// True while an owned batch has neither ended nor completed.
   bool HasOpenBatches() const;
 
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -166,11 +166,19 @@
 Batches::IsThisHostNextOwner(const BatchId& aBatch) const
 {
   std::vector<std::string> available;
+  std::vector<std::string> leaving;
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
   for (const objectstore::HostEntry& host : *hosts) {
-    if (host.m_service == kHostService && m_gossip->IsAvailable(host.m_name)) {
-      available.push_back(host.m_name);
+    if (host.m_service != kHostService ||
+        !m_gossip->IsRecentlyHeard(host.m_name)) {
+      continue;
     }
+    (m_gossip->IsAvailable(host.m_name) ? available : leaving)
+      .push_back(host.m_name);
+  }
+  // Where all hosts leave, they own the batches until others come.
+  if (available.empty()) {
+    available = std::move(leaving);
   }
   const size_t activeOwners = CountActiveOwners(CountUpstreams(*hosts));
   const std::vector<std::string> ranked =
@@ -315,6 +323,33 @@
   finishWrite();
 }
 
+bool
+Batches::HasSuccessor() const
+{
+  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
+  return std::ranges::any_of(*hosts, [&](const objectstore::HostEntry& aHost) {
+    return aHost.m_service == kHostService &&
+           aHost.m_name != m_context.Self().m_host &&
+           m_gossip->IsAvailable(aHost.m_name);
+  });
+}
+
+bool
+Batches::HasOrphans() const
+{
+  return std::ranges::any_of(m_placements, [](const auto& aEntry) {
+    const Placement& placement = aEntry.second;
+    return !placement.m_ended && placement.m_owner.empty();
+  });
+}
+
+void
+Batches::ResumeOwning()
+{
+  m_isHandingOver = false;
+  TakeOverOrphans();
+}
+
 void
 Batches::HandOverBeforeExit()
 {
--- a/src/batches/internal/retirement.cpp
+++ b/src/batches/internal/retirement.cpp
@@ -76,6 +76,26 @@
   HandOverIfDue();
 }
 
+bool
+Retirement::IsBlocked()
+{
+  const bool isBlocked = !m_batches->HasSuccessor();
+  if (isBlocked != m_wasBlocked) {
+    kernel::LogEvent(
+      kernel::LogLevel::Warning,
+      "batches",
+      "retirement-blocked",
+      { { "blocked", isBlocked },
+        { "reason", isBlocked ? "no other host that stays owns batches" : "" },
+        { "batches", m_batches->KnownCount() } });
+    m_wasBlocked = isBlocked;
+  }
+  m_context.Metrics()
+    .Get("batches.retirement_blocked")
+    .m_value.store(isBlocked ? 1 : 0);
+  return isBlocked;
+}
+
 void
 Retirement::HandOverIfDue()
 {
@@ -85,6 +105,18 @@
     m_checkTimer.Set(kernel::Now() + kCheckInterval);
     return;
   }
+  if (IsBlocked()) {
+    if (std::exchange(m_handedOver, false)) {
+      m_batches->ResumeOwning();
+    }
+    m_checkTimer.Set(kernel::Now() + kCheckInterval);
+    return;
+  }
+  if (m_handedOver && m_batches->HasOrphans()) {
+    // The successors have not taken all batches over yet.
+    m_checkTimer.Set(kernel::Now() + kCheckInterval);
+    return;
+  }
   if (m_handedOver) {
     ReportState(kEmpty);
     return;
@@ -95,7 +127,7 @@
       return;
     }
     self->m_handedOver = true;
-    self->ReportState(kEmpty);
+    self->m_checkTimer.Set(kernel::Now() + kCheckInterval);
   });
 }
 
--- a/src/batches/internal/retirement.h
+++ b/src/batches/internal/retirement.h
@@ -11,7 +11,9 @@
 namespace heatherdeal::batches {
 
 /// Hands all batches of this host over when an operator retires it, and reports
-/// when the host is empty. Use only on the control thread.
+/// when the host is empty: other hosts own all open batches. While there is no
+/// other host that stays, it goes on owning them. Use only on the control
+/// thread.
 class Retirement : public std::enable_shared_from_this<Retirement>
 {
 public:
@@ -25,6 +27,8 @@
   /// Starts leaving the cluster; batches are handed over within aTimeLimit at
   /// the latest.
   void StartRetirement(core::Duration aTimeLimit);
+  /// True if no other host can own the batches; logs each change.
+  bool IsBlocked();
   /// Hands all batches over once they are done or the time limit has passed;
   /// otherwise checks again later.
   void HandOverIfDue();
@@ -37,6 +41,7 @@
   kernel::DeadlineTimer m_checkTimer;
   std::optional<core::Instant> m_handOverAt;
   bool m_handedOver = false;
+  bool m_wasBlocked = false;
 };
 
 } // namespace heatherdeal::batches
