Move the reading of responses out of client.cpp

client.cpp had grown to 550 lines with two jobs. ResponseStream now stands in responsestream.cpp; nothing else changes.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -31,10 +31,6 @@
 // one.
 constexpr uint32_t kMaxInformationalResponses = 8;
 constexpr uint32_t kFirstFinalStatus = 200;
-constexpr size_t kReadBufferBytes = 16 * 1024;
-// Limits for the rest of a response whose body is not needed.
-constexpr size_t kMaxDiscardedBytes = 16 * 1024;
-constexpr core::Duration kDiscardTimeout = std::chrono::milliseconds(100);
 // A peer that disappears without closing its connections is detected after
 // about three seconds. The user timeout also decides when keep-alive probes
 // give up, whatever their number, so that both are the same time.
@@ -253,112 +249,6 @@
   return aEndpoint.m_address + ":" + std::to_string(aEndpoint.m_port);
 }
 
-ResponseStream::ResponseStream(std::unique_ptr<PooledConnection> aConnection,
-                               ResponseHead aHead,
-                               std::shared_ptr<CallAbort> aAbort)
-  : m_connection(std::move(aConnection))
-  , m_head(std::move(aHead))
-  , m_abort(std::move(aAbort))
-{
-}
-
-ResponseStream::~ResponseStream()
-{
-  if (m_abort) {
-    m_abort->AttachStream(nullptr);
-  }
-  if (!m_abandoned && HasEnded() && m_connection->m_parser->keep_alive() &&
-      m_connection->m_buffer.size() == 0) {
-    Client& client = m_connection->m_client;
-    client.ReturnConnection(std::move(m_connection));
-  }
-}
-
-void
-ResponseStream::Abandon()
-{
-  m_connection->m_stream.close();
-  m_abandoned = true;
-}
-
-bool
-ResponseStream::HasEnded() const
-{
-  return m_connection->m_parser->is_done();
-}
-
-bool
-ResponseStream::IsEndMarked() const
-{
-  return m_connection->m_parser->chunked() ||
-         m_connection->m_parser->content_length().has_value();
-}
-
-asio::awaitable<void>
-ResponseStream::DiscardBody()
-{
-  const core::Instant deadline = kernel::Now() + kDiscardTimeout;
-  size_t discardedBytes = 0;
-  while (!HasEnded() && discardedBytes <= kMaxDiscardedBytes) {
-    const absl::StatusOr<std::string_view> part = co_await Read(deadline);
-    if (!part.ok()) {
-      co_return;
-    }
-    discardedBytes += part->size();
-  }
-}
-
-asio::awaitable<absl::StatusOr<std::string>>
-ResponseStream::ReadBody(std::string aPeer, core::Instant aDeadline)
-{
-  ResponseBuffer buffer(m_connection->m_client.Memory(), std::move(aPeer));
-  while (!HasEnded()) {
-    const absl::StatusOr<std::string_view> part = co_await Read(aDeadline);
-    const absl::Status status =
-      part.ok() ? buffer.Append(*part) : part.status();
-    if (!status.ok()) {
-      Abandon();
-      co_return status;
-    }
-  }
-  co_return buffer.Take();
-}
-
-asio::awaitable<absl::StatusOr<std::string_view>>
-ResponseStream::Read(core::Instant aDeadline)
-{
-  auto& parser = *m_connection->m_parser;
-  m_readBuffer.resize(kReadBufferBytes);
-  // A read may consume only framing, such as the size of a chunk.
-  while (!parser.is_done()) {
-    auto& body = parser.get().body();
-    body.data = m_readBuffer.data();
-    body.size = m_readBuffer.size();
-    boost::system::error_code error;
-    m_connection->m_stream.expires_at(kernel::ToSteady(aDeadline));
-    co_await beast::http::async_read_some(m_connection->m_stream,
-                                          m_connection->m_buffer,
-                                          parser,
-                                          RedirectError(error));
-    if (error == beast::http::error::need_buffer) {
-      error = {};
-    }
-    if (error == beast::error::timeout) {
-      co_return core::ToStatus(core::DeadlineExceeded{
-        ToText(m_connection->m_peer), core::Executed::Unknown });
-    }
-    if (error) {
-      co_return core::ToStatus(
-        core::TruncatedResponse{ ToText(m_connection->m_peer) });
-    }
-    const size_t size = kReadBufferBytes - body.size;
-    if (size > 0) {
-      co_return std::string_view(m_readBuffer.data(), size);
-    }
-  }
-  co_return std::string_view();
-}
-
 Client::Client(kernel::Context& aContext,
                size_t aLoopIndex,
                std::shared_ptr<ResponseMemory> aMemory)
