Ask for the ownership again if results are contested meanwhile

A read of the placement that was sent before a foreign chunk was met could settle the doubt, although the store may have executed it before the takeover. It counts only if it was sent afterwards. A batch that was dropped while its last chunk was looked up is no longer activated.

test_platform_batches passes.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -179,9 +180,9 @@
     bool m_isConfirming = false;
     /// Until when reads wait for the confirmation.
     core::Instant m_confirmationWaitEnd{};
-    /// True if another host has listed results, until this host's ownership is
-    /// confirmed. No results are listed meanwhile.
-    bool m_isContested = false;
+    /// When this host has met results that another one has listed, until its
+    /// ownership is confirmed. No results are listed meanwhile.
+    std::optional<core::Instant> m_contestedAt;
     /// Generation and scoring requests in flight, by item index.
     std::map<size_t, ActiveRequest> m_activeRequests;
   };
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -108,6 +108,9 @@
                     self->HandleLoadedChunk(aOwned, aChunkNumber, aObject);
                     return;
                   }
+                  if (!self->IsOwned(aOwned)) {
+                    return;
+                  }
                   if (IsComplete(aOwned->m_run)) {
                     self->LoadCheckpoint(aOwned);
                   } else {
--- a/src/batches/internal/ownership.cpp
+++ b/src/batches/internal/ownership.cpp
@@ -76,17 +76,25 @@
       if (!self->IsOwned(aOwned)) {
         return;
       }
-      if (aPlacement.ok()) {
+      if (!aPlacement.ok()) {
+        self->m_context.Metrics().Get("batches.ownership_unconfirmed").Add();
+        RejectDueReads(*aOwned, kernel::Now());
+      } else {
         aOwned->m_confirmedAt = startedAt;
-        aOwned->m_isContested = false;
-        self->RunDueWork();
-        return;
       }
-      self->m_context.Metrics().Get("batches.ownership_unconfirmed").Add();
-      RejectDueReads(*aOwned, kernel::Now());
-      if (aOwned->m_isContested) {
+      // A read that was sent before the foreign results were met may have been
+      // executed before the other host took the batch over.
+      const bool isSettled =
+        aPlacement.ok() && aOwned->m_contestedAt <= startedAt;
+      if (isSettled) {
+        aOwned->m_contestedAt.reset();
+      }
+      if (aOwned->m_contestedAt) {
         self->ScheduleRetry([self, aOwned] { self->ConfirmOwnership(aOwned); });
       }
+      if (aPlacement.ok()) {
+        self->RunDueWork();
+      }
     });
 }
 
@@ -98,7 +106,7 @@
                    "ownership-contested",
                    { { "batch", aOwned->m_id.m_value },
                      { "chunk", aOwned->m_run.m_nextChunk } });
-  aOwned->m_isContested = true;
+  aOwned->m_contestedAt = kernel::Now();
   ConfirmOwnership(aOwned);
 }
 
--- a/src/batches/internal/resultstorage.cpp
+++ b/src/batches/internal/resultstorage.cpp
@@ -45,7 +45,7 @@
 void
 Batches::StoreDueResults(const OwnedPtr& aOwned)
 {
-  if (aOwned->m_isContested) {
+  if (aOwned->m_contestedAt) {
     return;
   }
   const std::optional<ResultChunk> chunk =
