Share what the change of the owners had written again

- IsThisHostNextOwner, HasSuccessor and BatchGateway each sorted the hosts that run batches into available and leaving ones: FindOwnerHosts does it for all.
- Discarding a text and generating it again stood four times: RestartItem.
- CombineTries copied the response that it returns, up to a megabyte for each relayed call of the store; it moves it now.
- A log text read like a riddle, and a member function stood among the members.

--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -81,6 +81,14 @@
   aItem.m_phase = ItemWaiting{ aNotBefore };
 }
 
+/// Discards the text and generates it again.
+void
+RestartItem(ItemState& aItem, core::Instant aNotBefore)
+{
+  ResetText(aItem);
+  RetryItem(aItem, aNotBefore);
+}
+
 void
 HandleOutcome(BatchRun& aRun,
               size_t aItem,
@@ -90,8 +98,7 @@
   ItemState& item = aRun.m_items[aItem];
   // A text without any event is not usable, even if its stream ended normally.
   if (item.m_eventCount == 0 || !HasUsableVersions(aRun, item)) {
-    ResetText(item);
-    RetryItem(item, aNow + kOutdatedRetryDelay);
+    RestartItem(item, aNow + kOutdatedRetryDelay);
     return;
   }
   if (aRun.m_submission->m_items[aItem].m_reward) {
@@ -138,9 +145,7 @@
               const RunUnusable&,
               core::Instant aNow)
 {
-  ItemState& item = aRun.m_items[aItem];
-  ResetText(item);
-  RetryItem(item, aNow + kFailureRetryDelay);
+  RestartItem(aRun.m_items[aItem], aNow + kFailureRetryDelay);
 }
 
 void
@@ -182,9 +187,7 @@
               const RunOutdatedWeights&,
               core::Instant aNow)
 {
-  ItemState& item = aRun.m_items[aItem];
-  ResetText(item);
-  RetryItem(item, aNow + kOutdatedRetryDelay);
+  RestartItem(aRun.m_items[aItem], aNow + kOutdatedRetryDelay);
 }
 
 /// Sorts the items by expected length, longest first, because the last texts to
@@ -262,8 +265,7 @@
     if (isFinalOrRunning || HasUsableVersions(aRun, item)) {
       continue;
     }
-    ResetText(item);
-    RetryItem(item, aNow);
+    RestartItem(item, aNow);
   }
 }
 
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "batches/internal/objectnames.h"
+#include "batches/internal/ownerhosts.h"
 #include "batches/owners.h"
 #include "core/failure.h"
 #include "http/exchange.h"
@@ -59,28 +60,19 @@
 std::vector<objectstore::HostEntry>
 BatchGateway::FindCandidates(const BatchId& aBatch) const
 {
-  std::map<std::string, objectstore::HostEntry> entries;
-  std::vector<std::string> available;
-  std::vector<std::string> leaving;
   const auto hosts = m_hosts->Read();
-  for (const objectstore::HostEntry& host : *hosts) {
-    if (host.m_service != kHostService ||
-        !m_gossip->IsRecentlyHeard(host.m_name)) {
-      continue;
-    }
-    entries[host.m_name] = host;
-    (m_gossip->IsAvailable(host.m_name) ? available : leaving)
-      .push_back(host.m_name);
-  }
+  const OwnerHosts owners = FindOwnerHosts(*hosts, *m_gossip);
   const size_t activeOwners = CountActiveOwners(CountUpstreams(*hosts));
   std::vector<objectstore::HostEntry> candidates;
-  for (const std::string& name :
-       RankOwners(available, aBatch.m_value, activeOwners)) {
-    candidates.push_back(entries[name]);
-  }
-  for (const std::string& name :
-       RankOwners(leaving, aBatch.m_value, activeOwners)) {
-    candidates.push_back(entries[name]);
+  for (const std::vector<std::string>* names :
+       { &owners.m_available, &owners.m_leaving }) {
+    for (const std::string& name :
+         RankOwners(*names, aBatch.m_value, activeOwners)) {
+      candidates.push_back(
+        *std::ranges::find_if(*hosts, [&](const objectstore::HostEntry& aHost) {
+          return aHost.m_name == name && aHost.m_service == kHostService;
+        }));
+    }
   }
   const std::scoped_lock lock(m_mutex);
   const auto owner = m_cachedOwners.find(aBatch.m_value);
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -206,7 +206,10 @@
   }
   aReport.m_outcome = text.OutcomeAtEnd(aStream);
   if (!std::holds_alternative<RunCompleted>(aReport.m_outcome)) {
-    LogRunEnd(aTask, "broken", "the stream ended without an end", aReport);
+    LogRunEnd(aTask,
+              "broken",
+              "the stream ended before the text was known to be complete",
+              aReport);
   }
 }
 
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "batches/internal/batchjson.h"
 #include "batches/internal/objectnames.h"
+#include "batches/internal/ownerhosts.h"
 #include "batches/owners.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
@@ -165,24 +166,14 @@
 bool
 Batches::IsThisHostNextOwner(const BatchId& aBatch) const
 {
-  std::vector<std::string> available;
-  std::vector<std::string> leaving;
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
-  for (const objectstore::HostEntry& host : *hosts) {
-    if (host.m_service != kHostService ||
-        !m_gossip->IsRecentlyHeard(host.m_name)) {
-      continue;
-    }
-    (m_gossip->IsAvailable(host.m_name) ? available : leaving)
-      .push_back(host.m_name);
-  }
+  const OwnerHosts owners = FindOwnerHosts(*hosts, *m_gossip);
   // Where all hosts leave, they own the batches until others come.
-  if (available.empty()) {
-    available = std::move(leaving);
-  }
+  const std::vector<std::string>& candidates =
+    owners.m_available.empty() ? owners.m_leaving : owners.m_available;
   const size_t activeOwners = CountActiveOwners(CountUpstreams(*hosts));
   const std::vector<std::string> ranked =
-    RankOwners(available, aBatch.m_value, activeOwners);
+    RankOwners(candidates, aBatch.m_value, activeOwners);
   return !ranked.empty() && ranked.front() == m_context.Self().m_host;
 }
 
@@ -327,10 +318,9 @@
 Batches::HasSuccessor() const
 {
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
-  return std::ranges::any_of(*hosts, [&](const objectstore::HostEntry& aHost) {
-    return aHost.m_service == kHostService &&
-           aHost.m_name != m_context.Self().m_host &&
-           m_gossip->IsAvailable(aHost.m_name);
+  const OwnerHosts owners = FindOwnerHosts(*hosts, *m_gossip);
+  return std::ranges::any_of(owners.m_available, [&](std::string_view aHost) {
+    return aHost != m_context.Self().m_host;
   });
 }
 
--- a/src/http/internal/pooledconnection.h
+++ b/src/http/internal/pooledconnection.h
@@ -34,14 +34,6 @@
   {
   }
 
-  Client& m_client;
-  boost::beast::tcp_stream m_stream;
-  boost::beast::flat_buffer m_buffer;
-  core::Endpoint m_peer;
-  /// Parser of the current response; nullopt while the connection is idle.
-  std::optional<
-    boost::beast::http::response_parser<boost::beast::http::buffer_body>>
-    m_parser;
   /// Adds the id of a request that is sent on the connection.
   void RememberId(std::string aId)
   {
@@ -54,8 +46,17 @@
     }
   }
 
+  Client& m_client;
+  boost::beast::tcp_stream m_stream;
+  boost::beast::flat_buffer m_buffer;
+  core::Endpoint m_peer;
+  /// Parser of the current response; nullopt while the connection is idle.
+  std::optional<
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+    m_parser;
   /// The ids of the last requests that the connection carried.
   std::deque<std::string> m_carriedIds;
+  /// True if the connection has carried a request, with or without an id.
   bool m_isUsed = false;
   /// End of the time during which the idle connection may be reused.
   core::Instant m_reusableUntil{};
--- a/src/objectstore/internal/storetransport.cpp
+++ b/src/objectstore/internal/storetransport.cpp
@@ -42,8 +42,10 @@
 {
   const bool earlierMayBeExecuted =
     !aEarlier.ok() && core::MayHaveBeenExecuted(aEarlier.status());
-  return !IsDefinitiveResponse(aLater) && earlierMayBeExecuted ? aEarlier
-                                                               : aLater;
+  if (!IsDefinitiveResponse(aLater) && earlierMayBeExecuted) {
+    return aEarlier;
+  }
+  return aLater;
 }
 
 /// Returns the response to a call that was sent once. If it was sent before, a
