Do not take back batches that were handed over

A retired host counts itself as available until its process ends. So it could take over again the batches that it had just handed over, and then report itself as empty, since no batch was without an owner: it would be removed as the owner.

A host that hands over is no next owner until it resumes owning.

--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -166,6 +166,11 @@
 bool
 Batches::IsThisHostNextOwner(const BatchId& aBatch) const
 {
+  // A host that hands its batches over does not take them back before
+  // ResumeOwning.
+  if (m_isHandingOver) {
+    return false;
+  }
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
   const OwnerHosts owners = FindOwnerHosts(*hosts, *m_gossip);
   // Where all hosts leave, they own the batches until others come.
