Add customers to the configuration and to requests

The configuration now has customers with API keys, public routes and the scaling of upstreams.

Fields that hosts of earlier releases reject are written only if they are used. Not yet: items and reward calls of batches, and the owner's check of the customer.

--- a/src/batches/batchgateway.h
+++ b/src/batches/batchgateway.h
@@ -21,6 +21,15 @@
 http::Response
 MakeMisdirectedResponse(std::string_view aOwner);
 
+/// Makes a call to the owner of a batch belong to the customer; to none if it
+/// is empty. Callers cannot do so themselves.
+void
+SetCustomer(http::Request& aRequest, const core::CustomerId& aCustomer);
+
+/// Returns the customer that SetCustomer has set; empty if there is none.
+core::CustomerId
+CustomerOf(const http::Request& aRequest);
+
 /// Forwards calls about batches to the hosts that own them. Thread-safe; used
 /// on the traffic threads.
 class BatchGateway
--- a/src/batches/internal/batchgateway.cpp
+++ b/src/batches/internal/batchgateway.cpp
@@ -18,6 +18,7 @@
 constexpr uint32_t kMisdirected = 421;
 constexpr uint32_t kUnavailable = 503;
 constexpr std::string_view kOwnerHeader = "X-Heatherdeal-Owner";
+constexpr std::string_view kCustomerHeader = "X-Heatherdeal-Customer";
 constexpr size_t kMaxCachedOwners = 4096;
 constexpr size_t kMaxAttempts = 5;
 // After this many unresponsive hosts, this host is probably cut off from all of
@@ -50,6 +51,24 @@
   return response;
 }
 
+void
+SetCustomer(http::Request& aRequest, const core::CustomerId& aCustomer)
+{
+  std::erase_if(aRequest.m_headers, [](const http::Header& aHeader) {
+    return http::IsSameHeaderName(aHeader.m_name, kCustomerHeader);
+  });
+  if (!aCustomer.m_value.empty()) {
+    aRequest.m_headers.push_back(
+      { std::string(kCustomerHeader), aCustomer.m_value });
+  }
+}
+
+core::CustomerId
+CustomerOf(const http::Request& aRequest)
+{
+  return { std::string(http::FindHeader(aRequest.m_headers, kCustomerHeader)) };
+}
+
 BatchGateway::BatchGateway(kernel::Context& aContext)
   : m_hosts(aContext.Get<objectstore::Hosts>())
   , m_gossip(aContext.Get<gossip::Gossip>())
--- a/src/configuration/decisions/document.cpp
+++ b/src/configuration/decisions/document.cpp
@@ -1,6 +1,7 @@
 #include "configuration/document.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <set>
 
@@ -100,6 +101,20 @@
   }
 }
 
+void
+ValidateServices(const Document& aDocument, Errors& aErrors)
+{
+  for (size_t i = 0; i < aDocument.m_services.size(); ++i) {
+    const std::optional<UpstreamScaling>& scaling =
+      aDocument.m_services[i].m_scaling;
+    if (scaling) {
+      const std::string path = "$.services[" + std::to_string(i) + "].scaling";
+      std::ranges::move(ValidateScaling(*scaling, path),
+                        std::back_inserter(aErrors));
+    }
+  }
+}
+
 } // namespace
 
 const Route*
@@ -171,6 +186,9 @@
   for (size_t i = 0; i < aDocument.m_routes.size(); ++i) {
     ValidateRoute(aDocument, i, errors);
   }
+  ValidateServices(aDocument, errors);
+  std::ranges::move(ValidateCustomers(aDocument.m_customers),
+                    std::back_inserter(errors));
   return errors;
 }
 
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "configuration/customer.h"
+#include "configuration/upstreamscaling.h"
 #include "core/failure.h"
 #include "core/ids.h"
 #include "rollout/policy.h"
@@ -83,6 +86,8 @@
   AtMostOncePolicy m_atMostOncePolicy = OncePerRequestId{};
   /// Maximum number of requests in flight on one entry host.
   uint32_t m_maxConcurrentRequests = 512;
+  /// Empty if the number of upstreams is not up to this system.
+  std::optional<UpstreamScaling> m_scaling;
 };
 
 /// A rollout job, which generates samples for one trainer.
@@ -156,6 +161,8 @@
   uint32_t m_maxAttempts = 1;
   /// Priority of the requests; 0 is the highest.
   uint32_t m_priority = 0;
+  /// True if requests need no API key although there are customers.
+  bool m_isPublic = false;
   std::vector<WeightedService> m_services;
 };
 
@@ -177,6 +184,8 @@
   std::vector<Job> m_jobs;
   std::vector<Route> m_routes;
   CallerLimits m_limits;
+  /// If there are any, requests need an API key unless their route is public.
+  std::vector<Customer> m_customers;
 };
 
 /// Returns the route of aHost with the longest prefix that matches aPath, or
--- /dev/null
+++ b/src/configuration/internal/customerjson.cpp
@@ -0,0 +1,51 @@
+#include "configuration/internal/customerjson.h"
+
+#include "boost/json/array.hpp"
+
+namespace heatherdeal::configuration {
+
+namespace {
+
+constexpr kernel::Range kPriorityRange{ 0, 1000 };
+
+} // namespace
+
+Customer
+ParseCustomer(kernel::SettingsReader& aReader)
+{
+  Customer customer;
+  customer.m_name.m_value = aReader.TextOr("name", "");
+  // SettingsReader::OptionalTexts would put an element of another type into
+  // the error text.
+  aReader.ForEach(
+    "keys", [&](const boost::json::value& aValue, std::string_view aPath) {
+      if (!aValue.is_string()) {
+        aReader.Errors().m_errors.push_back(
+          { std::string(aPath), "(hidden)", "a string" });
+        return;
+      }
+      customer.m_keys.emplace_back(aValue.get_string());
+    });
+  if (aReader.OptionalValue("priority") != nullptr) {
+    customer.m_priority =
+      static_cast<uint32_t>(aReader.Integer("priority", kPriorityRange));
+  }
+  return customer;
+}
+
+boost::json::object
+ToObject(const Customer& aCustomer)
+{
+  boost::json::array keys;
+  for (const std::string& key : aCustomer.m_keys) {
+    keys.emplace_back(key);
+  }
+  boost::json::object object{ { "name", aCustomer.m_name.m_value },
+                              { "keys", std::move(keys) } };
+  if (aCustomer.m_priority) {
+    object["priority"] = *aCustomer.m_priority;
+  }
+  return object;
+}
+
+} // namespace heatherdeal::configuration
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -3,8 +3,10 @@
 #include "boost/json/serialize.hpp"
 #include "xxhash.h"
 
+#include "configuration/internal/customerjson.h"
 #include "configuration/internal/jobjson.h"
 #include "configuration/internal/routejson.h"
+#include "configuration/internal/scalingjson.h"
 #include "core/overloaded.h"
 #include "kernel/json.h"
 
@@ -80,6 +82,11 @@
     "attempts", { 1, kMaxAttempts }, service.m_maxAttemptsPerCall));
   service.m_maxConcurrentRequests = static_cast<uint32_t>(aReader.IntegerOr(
     "concurrency", { 1, kMaxConcurrency }, service.m_maxConcurrentRequests));
+  if (const boost::json::value* scaling = aReader.OptionalValue("scaling")) {
+    kernel::SettingsReader element(
+      *scaling, aReader.PathOf("scaling"), aReader.Errors());
+    service.m_scaling = ParseScaling(element);
+  }
   return service;
 }
 
@@ -123,6 +130,11 @@
                aService.m_atMostOncePolicy);
   object["attempts"] = aService.m_maxAttemptsPerCall;
   object["concurrency"] = aService.m_maxConcurrentRequests;
+  // Fields that hosts of earlier releases reject are written only if they are
+  // used.
+  if (aService.m_scaling) {
+    object["scaling"] = ToObject(*aService.m_scaling);
+  }
   return object;
 }
 
@@ -154,6 +166,11 @@
     document.m_limits =
       parseElement(*limits, aReader.PathOf("limits"), ParseLimits);
   }
+  aReader.ForEach(
+    "customers", [&](const boost::json::value& aValue, std::string_view aPath) {
+      document.m_customers.push_back(
+        parseElement(aValue, aPath, ParseCustomer));
+    });
   return document;
 }
 
@@ -197,12 +214,19 @@
   for (const Route& route : aDocument.m_routes) {
     routes.push_back(ToObject(route));
   }
-  const boost::json::value value{ { "generation", aDocument.m_generation },
-                                  { "services", std::move(services) },
-                                  { "jobs", std::move(jobs) },
-                                  { "routes", std::move(routes) },
-                                  { "limits", ToObject(aDocument.m_limits) } };
-  return boost::json::serialize(value);
+  boost::json::object object{ { "generation", aDocument.m_generation },
+                              { "services", std::move(services) },
+                              { "jobs", std::move(jobs) },
+                              { "routes", std::move(routes) },
+                              { "limits", ToObject(aDocument.m_limits) } };
+  if (!aDocument.m_customers.empty()) {
+    boost::json::array customers;
+    for (const Customer& customer : aDocument.m_customers) {
+      customers.push_back(ToObject(customer));
+    }
+    object["customers"] = std::move(customers);
+  }
+  return boost::json::serialize(object);
 }
 
 DocumentIdentity
--- a/src/configuration/internal/routejson.cpp
+++ b/src/configuration/internal/routejson.cpp
@@ -67,6 +67,7 @@
     aReader.IntegerOr("attempts", { 1, kMaxAttempts }, route.m_maxAttempts));
   route.m_priority = static_cast<uint32_t>(
     aReader.IntegerOr("priority", { 0, kMaxPriority }, route.m_priority));
+  route.m_isPublic = aReader.FlagOr("public", false);
   aReader.ForEach(
     "services", [&](const boost::json::value& aValue, std::string_view aPath) {
       kernel::SettingsReader element(aValue, aPath, aReader.Errors());
@@ -105,6 +106,11 @@
   object["objective_ms"] = ToMilliseconds(aRoute.m_latencyObjective);
   object["attempts"] = aRoute.m_maxAttempts;
   object["priority"] = aRoute.m_priority;
+  // Hosts of earlier releases reject this field, so that it is written only if
+  // it is used.
+  if (aRoute.m_isPublic) {
+    object["public"] = true;
+  }
   boost::json::array services;
   for (const WeightedService& target : aRoute.m_services) {
     services.push_back(
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -22,6 +22,7 @@
 using TrainerId = Name<struct TrainerTag>;
 using ServiceId = Name<struct ServiceTag>;
 using FailureDomainId = Name<struct FailureDomainTag>;
+using CustomerId = Name<struct CustomerTag>;
 using SoftwareVersion = Name<struct SoftwareVersionTag>;
 
 /// Identifies a part of a job. One owner at a time generates and delivers its
--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -31,6 +31,8 @@
   /// 0 for requests of batches.
   uint64_t m_fingerprint = 0;
   StreamPosition m_position;
+  /// Empty if the call belongs to no customer.
+  core::CustomerId m_customer;
 };
 
 std::string
@@ -46,6 +48,11 @@
         std::get_if<ResumeStream>(&aDescription.m_position)) {
     value["resumes"] = resume->m_stream.m_value;
   }
+  // Hosts of earlier releases reject this field, so that it is written only if
+  // it is used.
+  if (!aDescription.m_customer.m_value.empty()) {
+    value["customer"] = aDescription.m_customer.m_value;
+  }
   return boost::json::serialize(value);
 }
 
@@ -66,6 +73,7 @@
       if (aReader.OptionalValue("resumes") != nullptr) {
         description.m_position = ResumeStream{ { aReader.Text("resumes") } };
       }
+      description.m_customer.m_value = aReader.TextOr("customer", "");
       return description;
     });
 }
@@ -82,6 +90,7 @@
     description.m_fingerprint = caller->m_fingerprint.m_value;
   }
   description.m_position = aCall.m_position;
+  description.m_customer = aCall.m_customer;
   return description;
 }
 
@@ -127,6 +136,7 @@
     call.m_origin = CallerOrigin{ { description->m_fingerprint } };
   }
   call.m_position = description->m_position;
+  call.m_customer = description->m_customer;
   call.m_route = *route;
   // The host that has sent the call decides on further attempts.
   call.m_route.m_maxAttempts = 1;
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -312,6 +312,7 @@
   SendContext context;
   context.m_requestId = aCall.m_id;
   context.m_expectedInstance = reservation->Chosen().m_id;
+  context.m_customer = aCall.m_customer;
   context.m_timeLeft = deadline - now;
   CodecInUse().m_encodeRequest(request, context);
   const http::Reuse reuse = IsIdempotent(aCall.m_route.m_kind)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -53,6 +53,8 @@
   CallOrigin m_origin;
   StreamPosition m_position;
   configuration::Route m_route;
+  /// The customer whose name the upstream gets; empty if it gets none.
+  core::CustomerId m_customer;
   /// Does not contain hop-by-hop headers.
   http::Request m_request;
   /// Id of the request, which is sent to the upstream and logged.
--- a/src/relay/upstreamcodec.h
+++ b/src/relay/upstreamcodec.h
@@ -20,6 +20,9 @@
   std::string_view m_requestId;
   /// Only this instance of the upstream may execute the request.
   core::UpstreamId m_expectedInstance;
+  /// The customer that the request belongs to. If it is not empty, it replaces
+  /// what the request says of a customer and of an API key.
+  core::CustomerId m_customer;
   /// Time from now until the upstream has to stop working on the request.
   std::optional<core::Duration> m_timeLeft;
   /// Resumes the stream after this event of an earlier attempt.
