Let batches belong to the customer that submitted them

Items, reward calls on routes that are not public, and later calls of a batch now carry the customer of the key that submitted it. Calls with a key of another customer are answered 404, as if the batch did not exist. The customer is stored with the batch and its placement, only if there is one, since hosts of earlier releases reject the field.

--- a/src/batches/batch.h
+++ b/src/batches/batch.h
@@ -54,6 +54,8 @@
   /// The virtual host and the path that select the route.
   std::string m_host;
   std::string m_path;
+  /// The customer that has submitted the batch; empty if it needed no key.
+  core::CustomerId m_customer;
   /// The name of the weights that generate the texts.
   std::string m_weights;
   /// The oldest weight version that may generate any token of the batch.
@@ -92,6 +94,8 @@
   BatchId m_batch;
   /// The name of the owner; empty after the owner has handed the batch over.
   std::string m_owner;
+  /// The customer that has submitted the batch; empty if it needed no key.
+  core::CustomerId m_customer;
   /// True once the trainer has ended the batch.
   bool m_ended = false;
   /// The time at which the batch was accepted, in Unix milliseconds.
--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -48,7 +48,13 @@
 struct AcceptanceUnknown
 {};
 
-using SubmitOutcome = std::variant<Accepted, NotAccepted, AcceptanceUnknown>;
+/// The batch or the item does not exist, or the batch belongs to another
+/// customer.
+struct NoSuchBatch
+{};
+
+using SubmitOutcome =
+  std::variant<Accepted, NotAccepted, AcceptanceUnknown, NoSuchBatch>;
 
 /// A page of results, from the requested position onwards.
 struct ResultPage
@@ -68,10 +74,6 @@
 struct BatchEnded
 {};
 
-/// The batch or the item does not exist.
-struct NoSuchBatch
-{};
-
 /// Another host runs the batch.
 struct OwnedElsewhere
 {
@@ -91,10 +93,23 @@
 using EndOutcome =
   std::variant<BatchEnded, NoSuchBatch, TemporarilyUnavailable>;
 
+/// A batch in a call of a customer, who sees only its own batches.
+struct BatchReference
+{
+  BatchId m_batch;
+  /// Empty if the call needed no key.
+  core::CustomerId m_customer;
+};
+
+/// True if the batch must not be shown to the customer.
+bool
+IsOfOtherCustomer(const Placement& aPlacement,
+                  const core::CustomerId& aCustomer);
+
 /// A long poll for results from a position onwards.
 struct ReadRequest
 {
-  BatchId m_batch;
+  BatchReference m_batch;
   /// The position of the first result to return.
   size_t m_firstPosition = 0;
   /// The time at which the poll is answered even without new results.
@@ -138,11 +153,11 @@
   /// Answers with durable results, or with an empty page at the time limit.
   void ReadResults(const ReadRequest& aRequest, ReadCallback aDone);
   /// Returns the request body of an item.
-  void ReadItemBody(const BatchId& aBatch,
+  void ReadItemBody(const BatchReference& aBatch,
                     const ItemId& aItem,
                     BodyCallback aDone);
   /// Stops a batch and records that it has ended.
-  void EndBatch(const BatchId& aBatch, EndCallback aDone);
+  void EndBatch(const BatchReference& aBatch, EndCallback aDone);
 
   /// Returns the number of batches that this host owns.
   size_t OwnedCount() const { return m_owned.size(); }
@@ -221,11 +236,12 @@
   /// Stops owning a batch: aborts its requests and answers its pending reads.
   void DropBatch(std::string_view aBatch);
   /// Finds the owner of a batch that this host does not own.
-  void Locate(const BatchId& aBatch,
+  void Locate(const BatchReference& aBatch,
               std::function<void(const Location&)> aDone);
   /// Returns the location for a placement. Starts a takeover if the batch is
   /// orphaned and this host is its next owner.
-  Location ResolveLocation(const Placement& aPlacement);
+  Location ResolveLocation(const Placement& aPlacement,
+                           const core::CustomerId& aCustomer);
   /// Stops all work on a batch; does not record that it has ended.
   void StopBatch(const BatchId& aBatch);
 
@@ -351,6 +367,9 @@
   /// of their routes into force.
   void HandleConfiguration(const configuration::Document& aDocument);
   bool IsOwned(const OwnedPtr& aOwned) const;
+  /// Returns the batch if this host owns it and the customer may see it, or
+  /// null.
+  OwnedPtr FindOwned(const BatchReference& aBatch) const;
   bool IsEnded(std::string_view aBatch) const;
 
   kernel::Context& m_context;
--- a/src/batches/internal/accepting.cpp
+++ b/src/batches/internal/accepting.cpp
@@ -21,6 +21,7 @@
     core::Overloaded{
       [](const Accepted&) { return std::string_view("accepted"); },
       [](const NotAccepted&) { return std::string_view("not-accepted"); },
+      [](const NoSuchBatch&) { return std::string_view("other-customer"); },
       [](const AcceptanceUnknown&) { return std::string_view("unknown"); } },
     aOutcome);
 }
@@ -31,7 +32,12 @@
 Batches::Submit(Submission aSubmission, SubmitCallback aDone)
 {
   const std::string id = aSubmission.m_id.m_value;
-  if (m_placements.contains(id)) {
+  const auto known = m_placements.find(id);
+  if (known != m_placements.end()) {
+    if (IsOfOtherCustomer(known->second, aSubmission.m_customer)) {
+      aDone(NoSuchBatch{});
+      return;
+    }
     aDone(Accepted{});
     return;
   }
@@ -123,6 +129,7 @@
   Placement placement;
   placement.m_batch = aSubmission->m_id;
   placement.m_owner = m_context.Self().m_host;
+  placement.m_customer = aSubmission->m_customer;
   placement.m_acceptedAt = aSubmission->m_acceptedAt;
   m_store->Write(
     { std::string(kPlacementKind), aSubmission->m_id.m_value },
@@ -183,6 +190,7 @@
   Placement placement;
   placement.m_batch = aSubmission->m_id;
   placement.m_owner = m_context.Self().m_host;
+  placement.m_customer = aSubmission->m_customer;
   placement.m_acceptedAt = aSubmission->m_acceptedAt;
   placement.m_version = aVersion;
   ApplyPlacement(std::move(placement));
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -65,20 +65,37 @@
   m_drainTimer.Set(kernel::Now() + m_settings.m_drainTime);
 }
 
+bool
+IsOfOtherCustomer(const Placement& aPlacement,
+                  const core::CustomerId& aCustomer)
+{
+  const bool hasCustomer = !aPlacement.m_customer.m_value.empty();
+  return hasCustomer && aPlacement.m_customer != aCustomer;
+}
+
+Batches::OwnedPtr
+Batches::FindOwned(const BatchReference& aBatch) const
+{
+  const auto placement = m_placements.find(aBatch.m_batch.m_value);
+  const auto owned = m_owned.find(aBatch.m_batch.m_value);
+  const bool isVisible =
+    placement != m_placements.end() &&
+    !IsOfOtherCustomer(placement->second, aBatch.m_customer);
+  return isVisible && owned != m_owned.end() ? owned->second : nullptr;
+}
+
 void
 Batches::ReadResults(const ReadRequest& aRequest, ReadCallback aDone)
 {
-  const std::string& id = aRequest.m_batch.m_value;
-  const auto owned = m_owned.find(id);
-  if (owned != m_owned.end()) {
-    if (!owned->second->m_loaded) {
-      EnsureLoading(owned->second);
+  if (const OwnedPtr owned = FindOwned(aRequest.m_batch)) {
+    if (!owned->m_loaded) {
+      EnsureLoading(owned);
       aDone(TemporarilyUnavailable{ "the batch is still loading" });
       return;
     }
-    owned->second->m_pendingReads.push_back(
+    owned->m_pendingReads.push_back(
       { aRequest.m_firstPosition, aRequest.m_waitUntil, std::move(aDone) });
-    AnswerPendingReads(owned->second);
+    AnswerPendingReads(owned);
     RunDueWork();
     return;
   }
@@ -93,23 +110,23 @@
 }
 
 void
-Batches::ReadItemBody(const BatchId& aBatch,
+Batches::ReadItemBody(const BatchReference& aBatch,
                       const ItemId& aItem,
                       BodyCallback aDone)
 {
-  const auto owned = m_owned.find(aBatch.m_value);
-  if (owned == m_owned.end()) {
+  const OwnedPtr owned = FindOwned(aBatch);
+  if (!owned) {
     Locate(aBatch, [aDone](const Location& aLocation) {
       std::visit([&](const auto& aTyped) { aDone(aTyped); }, aLocation);
     });
     return;
   }
-  if (!owned->second->m_loaded) {
-    EnsureLoading(owned->second);
+  if (!owned->m_loaded) {
+    EnsureLoading(owned);
     aDone(TemporarilyUnavailable{ "the batch is still loading" });
     return;
   }
-  const BatchRun& run = owned->second->m_run;
+  const BatchRun& run = owned->m_run;
   const auto index = run.m_itemIndexes.find(aItem.m_value);
   if (index == run.m_itemIndexes.end()) {
     aDone(NoSuchBatch{});
@@ -119,19 +136,20 @@
 }
 
 void
-Batches::Locate(const BatchId& aBatch,
+Batches::Locate(const BatchReference& aBatch,
                 std::function<void(const Location&)> aDone)
 {
-  const auto known = m_placements.find(aBatch.m_value);
+  const auto known = m_placements.find(aBatch.m_batch.m_value);
   if (known != m_placements.end()) {
-    aDone(ResolveLocation(known->second));
+    aDone(ResolveLocation(known->second, aBatch.m_customer));
     return;
   }
-  FetchPlacement(aBatch,
+  FetchPlacement(aBatch.m_batch,
                  [self = shared_from_this(),
+                  customer = aBatch.m_customer,
                   aDone](const absl::StatusOr<Placement>& aPlacement) {
                    if (aPlacement.ok()) {
-                     aDone(self->ResolveLocation(*aPlacement));
+                     aDone(self->ResolveLocation(*aPlacement, customer));
                      return;
                    }
                    if (absl::IsNotFound(aPlacement.status())) {
@@ -144,8 +162,12 @@
 }
 
 Batches::Location
-Batches::ResolveLocation(const Placement& aPlacement)
+Batches::ResolveLocation(const Placement& aPlacement,
+                         const core::CustomerId& aCustomer)
 {
+  if (IsOfOtherCustomer(aPlacement, aCustomer)) {
+    return NoSuchBatch{};
+  }
   if (aPlacement.m_owner == m_context.Self().m_host) {
     return TemporarilyUnavailable{ "the batch is still loading" };
   }
@@ -161,15 +183,16 @@
 }
 
 void
-Batches::EndBatch(const BatchId& aBatch, EndCallback aDone)
+Batches::EndBatch(const BatchReference& aReference, EndCallback aDone)
 {
-  const auto known = m_placements.find(aBatch.m_value);
+  const BatchId& batch = aReference.m_batch;
+  const auto known = m_placements.find(batch.m_value);
   if (known == m_placements.end()) {
-    FetchPlacement(aBatch,
-                   [self = shared_from_this(), aBatch, aDone](
+    FetchPlacement(batch,
+                   [self = shared_from_this(), aReference, aDone](
                      const absl::StatusOr<Placement>& aPlacement) {
                      if (aPlacement.ok()) {
-                       self->EndBatch(aBatch, aDone);
+                       self->EndBatch(aReference, aDone);
                        return;
                      }
                      if (absl::IsNotFound(aPlacement.status())) {
@@ -181,22 +204,26 @@
                    });
     return;
   }
+  if (IsOfOtherCustomer(known->second, aReference.m_customer)) {
+    aDone(NoSuchBatch{});
+    return;
+  }
   if (known->second.m_ended) {
     aDone(BatchEnded{});
     return;
   }
-  StopBatch(aBatch);
+  StopBatch(batch);
   Placement ended = known->second;
   ended.m_ended = true;
   WritePlacement(
     std::move(ended),
-    [self = shared_from_this(), aBatch, aDone](
+    [self = shared_from_this(), batch, aDone](
       const absl::StatusOr<uint64_t>& aVersion) {
       kernel::LogEvent(
         kernel::LogLevel::Info,
         "batches",
         "end",
-        { { "batch", aBatch.m_value },
+        { { "batch", batch.m_value },
           { "outcome",
             aVersion.ok() ? "ended"
                           : http::DescribeStatus(aVersion.status()) } });
@@ -206,7 +233,7 @@
       }
       // Reads the newer placement, so that a retry of the caller can
       // succeed.
-      self->FetchPlacement(aBatch, [](const absl::StatusOr<Placement>&) {});
+      self->FetchPlacement(batch, [](const absl::StatusOr<Placement>&) {});
       aDone(TemporarilyUnavailable{ http::DescribeStatus(aVersion.status()) });
     });
 }
--- a/src/batches/internal/batchjson.cpp
+++ b/src/batches/internal/batchjson.cpp
@@ -26,6 +26,16 @@
   return bytes;
 }
 
+/// Hosts of earlier releases reject this field, so that it is written only if
+/// it is used.
+void
+AddCustomer(json::object& aObject, const core::CustomerId& aCustomer)
+{
+  if (!aCustomer.m_value.empty()) {
+    aObject["customer"] = aCustomer.m_value;
+  }
+}
+
 json::value
 ToValue(const RewardRequest& aReward)
 {
@@ -188,16 +198,17 @@
   for (const BatchItem& item : aSubmission.m_items) {
     items.push_back(ToValue(item));
   }
-  const json::value value{ { "id", aSubmission.m_id.m_value },
-                           { "host", aSubmission.m_host },
-                           { "path", aSubmission.m_path },
-                           { "weights", aSubmission.m_weights },
-                           { "oldest",
-                             aSubmission.m_oldestAllowedVersion.m_number },
-                           { "wanted_groups", aSubmission.m_wantedGroups },
-                           { "accepted_at", aSubmission.m_acceptedAt },
-                           { "items", std::move(items) } };
-  return json::serialize(value);
+  json::object object{ { "id", aSubmission.m_id.m_value },
+                       { "host", aSubmission.m_host },
+                       { "path", aSubmission.m_path },
+                       { "weights", aSubmission.m_weights },
+                       { "oldest",
+                         aSubmission.m_oldestAllowedVersion.m_number },
+                       { "wanted_groups", aSubmission.m_wantedGroups },
+                       { "accepted_at", aSubmission.m_acceptedAt },
+                       { "items", std::move(items) } };
+  AddCustomer(object, aSubmission.m_customer);
+  return json::serialize(object);
 }
 
 absl::StatusOr<Submission>
@@ -209,6 +220,7 @@
       submission.m_id.m_value = aReader.Text("id");
       submission.m_host = aReader.Text("host");
       submission.m_path = aReader.Text("path");
+      submission.m_customer.m_value = aReader.TextOr("customer", "");
       submission.m_weights = aReader.TextOr("weights", "");
       submission.m_oldestAllowedVersion.m_number =
         static_cast<uint64_t>(aReader.IntegerOr("oldest", kNonNegative, 0));
@@ -282,10 +294,11 @@
 std::string
 ToJson(const Placement& aPlacement)
 {
-  const json::value value{ { "owner", aPlacement.m_owner },
-                           { "ended", aPlacement.m_ended },
-                           { "accepted_at", aPlacement.m_acceptedAt } };
-  return json::serialize(value);
+  json::object object{ { "owner", aPlacement.m_owner },
+                       { "ended", aPlacement.m_ended },
+                       { "accepted_at", aPlacement.m_acceptedAt } };
+  AddCustomer(object, aPlacement.m_customer);
+  return json::serialize(object);
 }
 
 absl::StatusOr<Placement>
@@ -295,6 +308,7 @@
     aText, "placement", [](kernel::SettingsReader& aReader) {
       Placement placement;
       placement.m_owner = aReader.TextOr("owner", "");
+      placement.m_customer.m_value = aReader.TextOr("customer", "");
       placement.m_ended = aReader.FlagOr("ended", false);
       placement.m_acceptedAt = aReader.Integer("accepted_at", kNonNegative);
       return placement;
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -19,6 +19,8 @@
   http::Request m_request;
   std::string m_batchId;
   std::string m_itemId;
+  /// The customer of the batch; empty if it has none.
+  core::CustomerId m_customer;
   /// Reserves a slot of the chosen engine until the run ends.
   std::shared_ptr<routing::UpstreamReservation> m_reservation;
   /// The id of the event after which the text resumes; 0 to generate it from
--- a/src/batches/internal/scoring.cpp
+++ b/src/batches/internal/scoring.cpp
@@ -89,6 +89,9 @@
   relay::RoutedCall call;
   call.m_origin = relay::BatchOrigin{};
   call.m_route = *route;
+  if (!route->m_isPublic) {
+    call.m_customer = aOwned->m_run.m_submission->m_customer;
+  }
   call.m_id = reward.m_id;
   call.m_request.m_method = "POST";
   call.m_request.m_target = reward.m_path;
