Choose upstreams of plain services by expected work

Requests of one service cost very different amounts of work, and upstreams of one service differ in speed, permanently and for some 600 ms at a time. Two choices by the number of requests knows neither, and the slots and the work time that upstreams report were discarded.

The new policy LeastExpectedWork compares the same two upstreams as TwoChoices, by the time in which they are expected to finish the request. The work of a request is learned by route, body size and kind from answers of upstreams that had nothing waiting; the work time of an upstream from its reports, which fade to their mean within 600 ms, and from what requests took. With equal requests and upstreams the choices are those of TwoChoices.

A document may name the policy.

--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -56,7 +56,17 @@
 struct LeastReportedLoad
 {};
 
-using RoutingPolicy = std::variant<TwoChoices, RoundRobin, LeastReportedLoad>;
+/// Compares the same upstreams as TwoChoices, by the time in which they are
+/// expected to finish the request. Behaves as TwoChoices without estimates.
+struct LeastExpectedWork
+{
+  /// How much busier an upstream in the same failure domain may be and still be
+  /// preferred, in percent of its slots.
+  uint32_t m_domainPreferencePercent = 50;
+};
+
+using RoutingPolicy =
+  std::variant<TwoChoices, RoundRobin, LeastReportedLoad, LeastExpectedWork>;
 
 /// Writes a record of each non-idempotent call to the object API before the
 /// call is sent, at the cost of one write per call. The record is named after
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -25,7 +25,8 @@
                                                         "per-receipt" };
 constexpr std::string_view kRoutingPolicyNames[] = { "two-choices",
                                                      "round-robin",
-                                                     "least-reported" };
+                                                     "least-reported",
+                                                     "least-expected-work" };
 
 UpstreamKind
 ParseUpstreamKind(kernel::SettingsReader& aReader)
@@ -57,14 +58,19 @@
 RoutingPolicy
 ParseRoutingPolicy(kernel::SettingsReader& aReader)
 {
+  const auto domainPreferencePercent = [&aReader] {
+    return static_cast<uint32_t>(
+      aReader.IntegerOr("domain_preference_percent", kPercentRange, 50));
+  };
   switch (aReader.ChoiceOr("routing", kRoutingPolicyNames, 0)) {
     case 1:
       return RoundRobin{};
     case 2:
       return LeastReportedLoad{};
+    case 3:
+      return LeastExpectedWork{ domainPreferencePercent() };
     default:
-      return TwoChoices{ static_cast<uint32_t>(
-        aReader.IntegerOr("domain_preference_percent", kPercentRange, 50)) };
+      return TwoChoices{ domainPreferencePercent() };
   }
 }
 
@@ -120,6 +126,11 @@
                                },
                                [&object](const LeastReportedLoad&) {
                                  object["routing"] = "least-reported";
+                               },
+                               [&object](const LeastExpectedWork& aWork) {
+                                 object["routing"] = "least-expected-work";
+                                 object["domain_preference_percent"] =
+                                   aWork.m_domainPreferencePercent;
                                } },
              aService.m_routing);
   object["call_time_ms"] = ToMilliseconds(aService.m_callTimeout);
--- a/src/configuration/tests/routetest.cpp
+++ b/src/configuration/tests/routetest.cpp
@@ -99,4 +99,18 @@
   CHECK(Validate(document).size() == 2);
 }
 
+// Guards against a name in default documents that hosts of the last release
+// reject.
+TEST_CASE("a document names routing by expected work only if it is configured")
+{
+  Document document = DocumentWithThreeRoutes();
+  CHECK(ToJson(document).find("two-choices") != std::string::npos);
+  CHECK(ToJson(document).find("least-expected-work") == std::string::npos);
+  document.m_services[0].m_routing = LeastExpectedWork{ 20 };
+  const ParsedDocument parsed = ParseDocument(ToJson(document));
+  REQUIRE(parsed.m_errors.empty());
+  CHECK(std::get<LeastExpectedWork>(parsed.m_document.m_services[0].m_routing)
+          .m_domainPreferencePercent == 20);
+}
+
 } // namespace heatherdeal::configuration
--- a/src/forwarding/internal/call.cpp
+++ b/src/forwarding/internal/call.cpp
@@ -234,7 +234,7 @@
       quarantine::MakeFailure(m_fingerprint, *refusalEnd, now));
   }
   const std::unique_ptr<routing::UpstreamReservation> reservation =
-    m_forwarder.m_router->ReserveUpstream(m_pool, m_triedUpstreams, now);
+    m_forwarder.m_router->ReserveUpstream(m_pool, {}, m_triedUpstreams, now);
   if (!reservation) {
     co_return core::ToStatus(
       core::NoUpstream{ m_pool->m_service.m_name.m_value });
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -40,12 +40,28 @@
 }
 
 void
-RecordLoad(const routing::UpstreamReservation& aReservation,
-           const LoadReport& aLoad)
+RecordLoad(routing::UpstreamReservation& aReservation, const LoadReport& aLoad)
 {
-  routing::UpstreamStats& stats = *aReservation.Chosen().m_stats;
-  stats.m_reportedLoad.store(aLoad.m_running + aLoad.m_waiting);
-  stats.m_reportedAt.store(kernel::Now().time_since_epoch().count());
+  constexpr double kPercent = 100.0;
+  aReservation.ReportLoad({ aLoad.m_running,
+                            aLoad.m_waiting,
+                            aLoad.m_slots,
+                            aLoad.m_workTimePercent / kPercent },
+                          kernel::Now());
+}
+
+/// Returns the class of requests that are expected to cost as much as the call.
+/// A resumed stream generates less text, and the items of batches differ from
+/// what callers send on the same route.
+routing::WorkClass
+WorkClassOf(const RoutedCall& aCall)
+{
+  constexpr size_t kOrigins = std::variant_size_v<CallOrigin>;
+  const size_t kind =
+    aCall.m_position.index() * kOrigins + aCall.m_origin.index();
+  return { aCall.m_route.m_name,
+           aCall.m_request.m_body.size(),
+           static_cast<uint32_t>(kind) };
 }
 
 /// Returns the fingerprint of a request that may be refused for crashing
@@ -295,7 +311,8 @@
     aState.m_isCountedAsDemand = true;
   }
   std::unique_ptr<routing::UpstreamReservation> reservation =
-    pool ? m_router->ReserveUpstream(pool, aState.m_triedUpstreams, now)
+    pool ? m_router->ReserveUpstream(
+             pool, WorkClassOf(aCall), aState.m_triedUpstreams, now)
          : nullptr;
   if (!reservation) {
     co_return core::ToStatus(
@@ -336,6 +353,9 @@
   absl::StatusOr<RoutedResponse> response =
     co_await ReadResponse(*stream, aCall, *reservation, deadline);
   RecordOutcome(aCall, *reservation, now, response.status());
+  if (response.ok() && IsSuccess(response->m_response.m_head.m_status)) {
+    reservation->ReportCompletion(now, kernel::Now());
+  }
   const bool beginsStream =
     std::holds_alternative<configuration::StreamRequests>(
       aCall.m_route.m_kind) &&
--- a/src/relay/upstreamcodec.h
+++ b/src/relay/upstreamcodec.h
@@ -52,11 +52,15 @@
 using UpstreamOutcome =
   std::variant<Served, NotExecuted, WrongInstance, MismatchedResponse>;
 
-/// The number of requests that an upstream reports.
+/// The load that an upstream reports.
 struct LoadReport
 {
   uint32_t m_running = 0;
   uint32_t m_waiting = 0;
+  /// Number of requests that run at the same time; 0 if not reported.
+  uint32_t m_slots = 0;
+  /// How long work takes now, in percent of the usual; 0 if not reported.
+  uint32_t m_workTimePercent = 0;
 };
 
 /// The decoded head of a response.
--- a/src/routing/choice.h
+++ b/src/routing/choice.h
@@ -8,6 +8,8 @@
 #include "configuration/document.h"
 #include "core/ids.h"
 #include "core/instant.h"
+#include "routing/workestimate.h"
+#include "routing/worktime.h"
 
 namespace heatherdeal::routing {
 
@@ -25,6 +27,12 @@
   /// Number of running and waiting requests that the upstream last reported.
   uint32_t m_reportedLoad = 0;
   core::Instant m_reportedAt{};
+  /// Expected work of this host's requests in flight, in microseconds of an
+  /// upstream at usual speed.
+  double m_outstandingWork = 0.0;
+  /// Number of slots that the upstream last reported; 0 if none.
+  uint32_t m_reportedSlots = 0;
+  WorkTimeState m_workTime;
 };
 
 /// Indices of the upstreams that the request has already been sent to.
@@ -39,6 +47,7 @@
   /// seeds the random draw.
   uint64_t m_sequence = 0;
   core::Instant m_now{};
+  ExpectedWork m_work;
 };
 
 /// True if new requests may be sent to the upstream now.
--- a/src/routing/decisions/choice.cpp
+++ b/src/routing/decisions/choice.cpp
@@ -2,67 +2,24 @@
 
 #include <algorithm>
 
-#include "core/overloaded.h"
+#include "routing/decisions/candidates.h"
 
 namespace heatherdeal::routing {
 
 namespace {
 
-constexpr core::Duration kLoadReportLifetime = std::chrono::milliseconds(300);
 constexpr double kPercent = 100.0;
-// Number of random draws after which the upstreams are scanned in order
-// instead.
-constexpr size_t kMaxRandomDraws = 8;
 
 using Upstreams = const UpstreamSource&;
 
-bool
-IsCandidate(Upstreams aUpstreams, const ChoiceRequest& aRequest, size_t aIndex)
-{
-  return IsUsable(aUpstreams[aIndex], aRequest.m_now) &&
-         std::ranges::find(aRequest.m_tried, aIndex) == aRequest.m_tried.end();
-}
-
-/// Returns the first candidate at or after aStart, wrapping around at the end.
-std::optional<size_t>
-FindNextCandidate(Upstreams aUpstreams,
-                  const ChoiceRequest& aRequest,
-                  size_t aStart)
-{
-  for (size_t i = 0; i < aUpstreams.Size(); ++i) {
-    const size_t index = (aStart + i) % aUpstreams.Size();
-    if (IsCandidate(aUpstreams, aRequest, index)) {
-      return index;
-    }
-  }
-  return std::nullopt;
-}
-
-/// Returns the SplitMix64 hash of aValue. Applied repeatedly, it yields a
-/// sequence of pseudo-random numbers.
-uint64_t
-NextRandom(uint64_t aValue)
-{
-  aValue += 0x9e3779b97f4a7c15ULL;
-  aValue = (aValue ^ (aValue >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  aValue = (aValue ^ (aValue >> 27)) * 0x94d049bb133111ebULL;
-  return aValue ^ (aValue >> 31);
-}
-
 /// Returns the load as a fraction of the slots. Requests from this host are
-/// counted exactly. The weight of the load reported by the upstream decreases
-/// with the age of the report.
+/// counted exactly.
 double
 ComputeRelativeLoad(const UpstreamFacts& aUpstream, core::Instant aNow)
 {
-  const core::Duration age = aNow - aUpstream.m_reportedAt;
-  const double lifetime = static_cast<double>(kLoadReportLifetime.count());
-  const double reportWeight =
-    std::clamp(1.0 - static_cast<double>(age.count()) / lifetime, 0.0, 1.0);
   const double ownRequests = aUpstream.m_outstanding;
-  const double otherRequests =
-    std::max(0.0, static_cast<double>(aUpstream.m_reportedLoad) - ownRequests);
-  return (ownRequests + reportWeight * otherRequests) / aUpstream.m_slots;
+  return (ownRequests + EstimateOtherRequests(aUpstream, aNow)) /
+         aUpstream.m_slots;
 }
 
 double
@@ -76,22 +33,6 @@
          (isLocal ? 0.0 : remotePenalty);
 }
 
-std::optional<size_t>
-DrawCandidate(Upstreams aUpstreams,
-              const ChoiceRequest& aRequest,
-              uint64_t& aRandomState)
-{
-  for (size_t i = 0; i < kMaxRandomDraws; ++i) {
-    aRandomState = NextRandom(aRandomState);
-    const size_t index = aRandomState % aUpstreams.Size();
-    if (IsCandidate(aUpstreams, aRequest, index)) {
-      return index;
-    }
-  }
-  return FindNextCandidate(
-    aUpstreams, aRequest, aRandomState % aUpstreams.Size());
-}
-
 std::optional<size_t>
 ChooseByPolicy(Upstreams aUpstreams,
                const configuration::TwoChoices& aPolicy,
@@ -139,6 +80,14 @@
   return best;
 }
 
+std::optional<size_t>
+ChooseByPolicy(Upstreams aUpstreams,
+               const configuration::LeastExpectedWork& aPolicy,
+               const ChoiceRequest& aRequest)
+{
+  return ChooseByExpectedWork(aUpstreams, aPolicy, aRequest);
+}
+
 } // namespace
 
 bool
--- /dev/null
+++ b/src/routing/decisions/worktime.cpp
@@ -0,0 +1,88 @@
+#include "routing/worktime.h"
+
+#include <algorithm>
+
+namespace heatherdeal::routing {
+
+namespace {
+
+// Phases in which an upstream is slow last some 600 ms, so that an older report
+// says nothing about the current phase.
+constexpr core::Duration kReportLifetime = std::chrono::milliseconds(600);
+// The time constant of the mean of the reports. It covers several phases, and
+// does not depend on how often this host gets a report.
+constexpr core::Duration kMeanReportTime = std::chrono::seconds(5);
+constexpr double kMinReported = 0.1;
+constexpr double kMaxReported = 20.0;
+// The ratio of one request varies as much as its cost does within its class.
+constexpr uint32_t kDecaySamples = 32;
+// Until there are several samples, an upstream counts as usual.
+constexpr double kPriorSamples = 4.0;
+// Bounds what one request says, and what all requests say.
+constexpr double kMaxRatio = 8.0;
+constexpr double kMinUnreported = 0.25;
+constexpr double kMaxUnreported = 4.0;
+
+double
+WeightByAge(core::Duration aAge, core::Duration aLifetime)
+{
+  const double age = static_cast<double>(aAge.count());
+  return std::clamp(
+    1.0 - age / static_cast<double>(aLifetime.count()), 0.0, 1.0);
+}
+
+double
+DrawTowardsUsual(double aMean, uint32_t aSamples)
+{
+  return (aMean * aSamples + kPriorSamples) / (aSamples + kPriorSamples);
+}
+
+} // namespace
+
+void
+RecordReport(WorkTimeState& aState, double aReported, core::Instant aNow)
+{
+  const double reported = std::clamp(aReported, kMinReported, kMaxReported);
+  if (aState.m_reported == 0.0) {
+    aState.m_meanReported = reported;
+  } else {
+    const double elapsed =
+      static_cast<double>((aNow - aState.m_reportedAt).count());
+    const double share = std::clamp(
+      elapsed / static_cast<double>(kMeanReportTime.count()), 0.0, 0.5);
+    aState.m_meanReported += share * (reported - aState.m_meanReported);
+  }
+  aState.m_reported = reported;
+  aState.m_reportedAt = aNow;
+}
+
+void
+RecordRatio(WorkTimeState& aState, double aRatio)
+{
+  const double ratio = std::clamp(aRatio, 0.0, kMaxRatio);
+  aState.m_samples = std::min(aState.m_samples + 1, kDecaySamples);
+  aState.m_unreported += (ratio - aState.m_unreported) / aState.m_samples;
+}
+
+double
+ExpectReportedWorkTime(const WorkTimeState& aState, core::Instant aNow)
+{
+  if (aState.m_reported == 0.0) {
+    return 1.0;
+  }
+  const double weight =
+    WeightByAge(aNow - aState.m_reportedAt, kReportLifetime);
+  return weight * aState.m_reported + (1.0 - weight) * aState.m_meanReported;
+}
+
+double
+ExpectWorkTime(const WorkTimeState& aState, core::Instant aNow)
+{
+  const double unreported =
+    std::clamp(DrawTowardsUsual(aState.m_unreported, aState.m_samples),
+               kMinUnreported,
+               kMaxUnreported);
+  return unreported * ExpectReportedWorkTime(aState, aNow);
+}
+
+} // namespace heatherdeal::routing
--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -1,5 +1,7 @@
 #include "routing/pool.h"
 
+#include <cmath>
+
 #include "xxhash.h"
 
 #include "kernel/controlthread.h"
@@ -15,6 +17,13 @@
   return core::Instant(core::Duration(aMicroseconds));
 }
 
+WorkTimeState
+ReadWorkTime(const UpstreamStats& aStats)
+{
+  const std::scoped_lock lock(aStats.m_workTimeMutex);
+  return aStats.m_workTime;
+}
+
 UpstreamFacts
 ReadFacts(const Upstream& aUpstream)
 {
@@ -28,9 +37,25 @@
   facts.m_outstanding = stats.m_outstanding.load();
   facts.m_reportedLoad = stats.m_reportedLoad.load();
   facts.m_reportedAt = ToInstant(stats.m_reportedAt.load());
+  facts.m_outstandingWork = static_cast<double>(stats.m_outstandingWork.load());
+  facts.m_reportedSlots = stats.m_reportedSlots.load();
+  facts.m_workTime = ReadWorkTime(stats);
   return facts;
 }
 
+bool
+IsByExpectedWork(const configuration::Service& aService)
+{
+  return std::holds_alternative<configuration::LeastExpectedWork>(
+    aService.m_routing);
+}
+
+ExpectedWork
+EstimateWork(const Pool& aPool, WorkKey aKey)
+{
+  return aPool.m_work ? aPool.m_work->Estimate(aKey) : ExpectedWork{};
+}
+
 PoolHealth
 ComputePoolHealth(const Pool& aPool, core::Instant aNow)
 {
@@ -152,16 +177,68 @@
 
 UpstreamReservation::UpstreamReservation(std::shared_ptr<const Pool> aPool,
                                          size_t aIndex)
+  : UpstreamReservation(aPool,
+                        aIndex,
+                        KeyOf({}),
+                        EstimateWork(*aPool, KeyOf({})))
+{
+}
+
+UpstreamReservation::UpstreamReservation(std::shared_ptr<const Pool> aPool,
+                                         size_t aIndex,
+                                         WorkKey aKey,
+                                         const ExpectedWork& aWork)
   : m_pool(std::move(aPool))
   , m_index(aIndex)
+  , m_key(aKey)
+  , m_expectedWork(std::llround(aWork.m_request))
 {
-  Chosen().m_stats->m_outstanding.fetch_add(1);
-  Chosen().m_stats->m_pacing.TakePermit(kernel::Now());
+  UpstreamStats& stats = *Chosen().m_stats;
+  const core::Instant now = kernel::Now();
+  m_hadWaiting = stats.m_reportedWaiting.load() > 0;
+  m_workTimeAtSend = ExpectReportedWorkTime(ReadWorkTime(stats), now);
+  stats.m_outstanding.fetch_add(1);
+  stats.m_outstandingWork.fetch_add(m_expectedWork);
+  stats.m_pacing.TakePermit(now);
 }
 
 UpstreamReservation::~UpstreamReservation()
 {
   Chosen().m_stats->m_outstanding.fetch_sub(1);
+  Chosen().m_stats->m_outstandingWork.fetch_sub(m_expectedWork);
+}
+
+void
+UpstreamReservation::ReportLoad(const UpstreamLoad& aLoad, core::Instant aNow)
+{
+  UpstreamStats& stats = *Chosen().m_stats;
+  stats.m_reportedLoad.store(aLoad.m_running + aLoad.m_waiting);
+  stats.m_reportedWaiting.store(aLoad.m_waiting);
+  stats.m_reportedSlots.store(aLoad.m_slots);
+  stats.m_reportedAt.store(aNow.time_since_epoch().count());
+  if (aLoad.m_workTime > 0.0) {
+    const std::scoped_lock lock(stats.m_workTimeMutex);
+    RecordReport(stats.m_workTime, aLoad.m_workTime, aNow);
+  }
+}
+
+void
+UpstreamReservation::ReportCompletion(core::Instant aSentAt, core::Instant aNow)
+{
+  if (!m_pool->m_work) {
+    return;
+  }
+  UpstreamStats& stats = *Chosen().m_stats;
+  // A slow phase may begin or end while the request runs.
+  const double workTime =
+    (m_workTimeAtSend + ExpectReportedWorkTime(ReadWorkTime(stats), aNow)) /
+    2.0;
+  const bool hasWaited = m_hadWaiting || stats.m_reportedWaiting.load() > 0;
+  const WorkSample sample{ m_key, aNow - aSentAt, workTime, hasWaited };
+  if (const auto ratio = m_pool->m_work->AddSample(sample, aNow)) {
+    const std::scoped_lock lock(stats.m_workTimeMutex);
+    RecordRatio(stats.m_workTime, *ratio);
+  }
 }
 
 void
@@ -232,8 +309,33 @@
   stats.m_avoidUntil.store(0);
 }
 
+configuration::RoutingPolicy
+EffectivePolicy(const configuration::Service& aService,
+                const RouterSettings& aSettings)
+{
+  const auto* choices =
+    std::get_if<configuration::TwoChoices>(&aService.m_routing);
+  const bool isPlain =
+    std::holds_alternative<configuration::PlainServers>(aService.m_kind);
+  if (aSettings.m_prefersExpectedWork && choices != nullptr && isPlain) {
+    return configuration::LeastExpectedWork{
+      choices->m_domainPreferencePercent
+    };
+  }
+  return aService.m_routing;
+}
+
 Router::Router(std::string_view aOwnFailureDomain)
+  : Router(aOwnFailureDomain, m_ownCounters, {})
+{
+}
+
+Router::Router(std::string_view aOwnFailureDomain,
+               kernel::Counters& aCounters,
+               const RouterSettings& aSettings)
   : m_ownFailureDomain{ std::string(aOwnFailureDomain) }
+  , m_counters(aCounters)
+  , m_settings(aSettings)
 {
 }
 
@@ -259,8 +361,16 @@
   for (const configuration::Service& service : m_document.m_services) {
     auto pool = std::make_shared<Pool>();
     pool->m_service = service;
+    pool->m_service.m_routing = EffectivePolicy(service, m_settings);
     if (const auto previous = FindPool(service.m_name.m_value)) {
       pool->m_demand = previous->m_demand;
+      pool->m_work = previous->m_work;
+    }
+    if (!IsByExpectedWork(pool->m_service)) {
+      pool->m_work = nullptr;
+    } else if (!pool->m_work) {
+      pool->m_work =
+        std::make_shared<ServiceWork>(m_counters, service.m_name.m_value);
     }
     for (const objectstore::HostEntry& host : m_hosts) {
       if (host.m_service != service.m_name.m_value) {
@@ -314,6 +424,7 @@
 
 std::unique_ptr<UpstreamReservation>
 Router::ReserveUpstream(const std::shared_ptr<const Pool>& aPool,
+                        const WorkClass& aClass,
                         TriedUpstreams aTried,
                         core::Instant aNow)
 {
@@ -323,15 +434,19 @@
                                  return ReadFacts(static_cast<const Upstream*>(
                                    aContext)[aIndex]);
                                } };
-  const ChoiceRequest request{
-    m_ownFailureDomain, aTried, m_nextSequence.fetch_add(1), aNow
-  };
+  const WorkKey key = KeyOf(aClass);
+  const ChoiceRequest request{ m_ownFailureDomain,
+                               aTried,
+                               m_nextSequence.fetch_add(1),
+                               aNow,
+                               EstimateWork(*aPool, key) };
   const std::optional<size_t> index =
     ChooseUpstream(source, aPool->m_service.m_routing, request);
   if (!index) {
     return nullptr;
   }
-  return std::make_unique<UpstreamReservation>(aPool, *index);
+  return std::make_unique<UpstreamReservation>(
+    aPool, *index, key, request.m_work);
 }
 
 } // namespace heatherdeal::routing
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -16,6 +16,8 @@
 #include "routing/choice.h"
 #include "routing/ejection.h"
 #include "routing/pacing.h"
+#include "routing/servicework.h"
+#include "routing/workclass.h"
 
 namespace heatherdeal::routing {
 
@@ -59,7 +61,13 @@
 {
   std::atomic<uint32_t> m_outstanding{ 0 };
   std::atomic<uint32_t> m_reportedLoad{ 0 };
+  /// Number of waiting requests and of slots that were last reported; 0 slots
+  /// if none were.
+  std::atomic<uint32_t> m_reportedWaiting{ 0 };
+  std::atomic<uint32_t> m_reportedSlots{ 0 };
   std::atomic<int64_t> m_reportedAt{ 0 };
+  /// Expected work of the outstanding requests.
+  std::atomic<int64_t> m_outstandingWork{ 0 };
   std::atomic<int64_t> m_ejectedUntil{ 0 };
   /// When the head of a response last arrived, whatever its status.
   std::atomic<int64_t> m_answeredAt{ 0 };
@@ -80,6 +88,9 @@
   /// Guards m_ejection.
   std::mutex m_ejectionMutex;
   EjectionState m_ejection;
+  /// Guards m_workTime.
+  mutable std::mutex m_workTimeMutex;
+  WorkTimeState m_workTime;
   /// Identifies the run of the upstream's process. A restart gets new
   /// statistics.
   uint64_t m_incarnation = 0;
@@ -109,6 +120,19 @@
   std::vector<Upstream> m_upstreams;
   /// Kept across changes of the host list.
   std::shared_ptr<ServiceDemand> m_demand = std::make_shared<ServiceDemand>();
+  /// Kept across changes of the host list. Null if work is not estimated.
+  std::shared_ptr<ServiceWork> m_work;
+};
+
+/// What an answer of an upstream says of its load.
+struct UpstreamLoad
+{
+  uint32_t m_running = 0;
+  uint32_t m_waiting = 0;
+  /// 0 if not reported.
+  uint32_t m_slots = 0;
+  /// How long work takes, relative to the usual; 0 if not reported.
+  double m_workTime = 0.0;
 };
 
 /// True if the pool has an upstream that does not leave.
@@ -137,7 +161,12 @@
 class UpstreamReservation
 {
 public:
+  /// Reserves for a request of which nothing is known.
   UpstreamReservation(std::shared_ptr<const Pool> aPool, size_t aIndex);
+  UpstreamReservation(std::shared_ptr<const Pool> aPool,
+                      size_t aIndex,
+                      WorkKey aKey,
+                      const ExpectedWork& aWork);
   ~UpstreamReservation();
   UpstreamReservation(const UpstreamReservation&) = delete;
   UpstreamReservation& operator=(const UpstreamReservation&) = delete;
@@ -145,6 +174,10 @@
   const Upstream& Chosen() const { return m_pool->m_upstreams[m_index]; }
   size_t Index() const { return m_index; }
 
+  /// Records the load that an answer reports.
+  void ReportLoad(const UpstreamLoad& aLoad, core::Instant aNow);
+  /// Records that the request was executed and answered completely at aNow.
+  void ReportCompletion(core::Instant aSentAt, core::Instant aNow);
   /// Records that the head of a response has arrived, whatever its status.
   void ReportAnswer(core::Instant aNow);
   /// Records that the request succeeded.
@@ -162,6 +195,12 @@
 private:
   std::shared_ptr<const Pool> m_pool;
   size_t m_index;
+  WorkKey m_key;
+  /// In microseconds of an upstream at usual speed.
+  int64_t m_expectedWork = 0;
+  /// What the upstream had last reported when the request was sent.
+  bool m_hadWaiting = false;
+  double m_workTimeAtSend = 1.0;
 };
 
 /// Records that the upstream leaves. It gets no new requests until its process
@@ -183,12 +222,29 @@
 std::optional<PermitForecast>
 ForecastPermits(const Pool& aPool, core::Instant aNow);
 
+/// Settings of the router.
+struct RouterSettings
+{
+  /// True if plain services whose policy is TwoChoices use LeastExpectedWork.
+  bool m_prefersExpectedWork = false;
+};
+
+/// Returns the policy by which the upstreams of a service are chosen.
+configuration::RoutingPolicy
+EffectivePolicy(const configuration::Service& aService,
+                const RouterSettings& aSettings);
+
 /// Chooses upstreams for requests. Functions may be called on any thread unless
 /// stated otherwise.
 class Router
 {
 public:
+  /// A router whose counters nobody reads.
   explicit Router(std::string_view aOwnFailureDomain);
+  /// aCounters has to outlive the router.
+  Router(std::string_view aOwnFailureDomain,
+         kernel::Counters& aCounters,
+         const RouterSettings& aSettings);
 
   /// Must be called on the control thread only.
   void SetHosts(std::span<const objectstore::HostEntry> aHosts);
@@ -205,10 +261,11 @@
   /// Returns the upstream with this id, if a service has it.
   std::optional<Upstream> FindUpstream(const core::UpstreamId& aId) const;
 
-  /// Chooses an upstream by the service's routing policy. Returns null if no
-  /// upstream of the pool is usable.
+  /// Chooses an upstream for a request of the class by the service's routing
+  /// policy. Returns null if no upstream of the pool is usable.
   std::unique_ptr<UpstreamReservation> ReserveUpstream(
     const std::shared_ptr<const Pool>& aPool,
+    const WorkClass& aClass,
     TriedUpstreams aTried,
     core::Instant aNow);
 
@@ -216,6 +273,9 @@
   void RebuildPools();
 
   core::FailureDomainId m_ownFailureDomain;
+  kernel::Counters m_ownCounters;
+  kernel::Counters& m_counters;
+  RouterSettings m_settings;
   std::atomic<uint64_t> m_nextSequence{ 0 };
   std::vector<objectstore::HostEntry> m_hosts;
   configuration::Document m_document;
--- a/src/routing/routingmodule.cpp
+++ b/src/routing/routingmodule.cpp
@@ -8,10 +8,25 @@
 
 namespace {
 
+constexpr std::string_view kPolicyNames[] = { "as-configured",
+                                              "least-expected-work" };
+
+std::any
+ParseSettings(kernel::SettingsReader& aReader)
+{
+  RouterSettings settings;
+  settings.m_prefersExpectedWork =
+    aReader.ChoiceOr("policy", kPolicyNames, 0) == 1;
+  return settings;
+}
+
 absl::Status
-Start(kernel::Context& aContext, const std::any&)
+Start(kernel::Context& aContext, const std::any& aSettings)
 {
-  auto router = std::make_shared<Router>(aContext.Self().m_failureDomain);
+  auto router =
+    std::make_shared<Router>(aContext.Self().m_failureDomain,
+                             aContext.Metrics(),
+                             std::any_cast<const RouterSettings&>(aSettings));
   aContext.Provide(router);
   aContext.Get<objectstore::Hosts>()->Subscribe(
     [router](std::span<const objectstore::HostEntry> aHosts) {
@@ -36,6 +51,8 @@
     for (const Upstream& upstream : pool->m_upstreams) {
       upstreams[upstream.m_id.m_value] = {
         { "outstanding", upstream.m_stats->m_outstanding.load() },
+        { "outstanding_work_ms",
+          upstream.m_stats->m_outstandingWork.load() / 1000 },
         { "leaving", upstream.m_leaving }
       };
     }
@@ -50,7 +67,7 @@
 const kernel::PluginRegistration kRegistration{ {
   .m_name = kModuleName,
   .m_dependencies = kDependencies,
-  .m_parseSettings = kernel::ParseNoSettings,
+  .m_parseSettings = ParseSettings,
   .m_start = Start,
   .m_drain = nullptr,
   .m_dump = Dump,
--- a/src/routing/tests/choicetest.cpp
+++ b/src/routing/tests/choicetest.cpp
@@ -47,7 +47,8 @@
   const std::vector<configuration::RoutingPolicy> policies{
     configuration::TwoChoices{},
     configuration::RoundRobin{},
-    configuration::LeastReportedLoad{}
+    configuration::LeastReportedLoad{},
+    configuration::LeastExpectedWork{}
   };
   for (const auto& policy : policies) {
     for (uint64_t sequence = 0; sequence < 100; ++sequence) {
