Move the permission to act under a lease to src/lease

Orders to engines check right before they are sent whether the lease still allows it. Reports of usage need the same check.

OrderPermission becomes lease::ActPermission; its behaviour is unchanged.

--- a/src/weights/internal/orderpermission.h
+++ b/src/lease/actpermission.h
@@ -4,15 +4,15 @@
 
 #include "core/instant.h"
 
-namespace heatherdeal::weights {
+namespace heatherdeal::lease {
 
-/// The permission to send orders under one epoch of the lease. The control
+/// The permission to send requests under one epoch of a lease. The control
 /// thread extends and revokes it; a traffic thread checks it right before it
-/// sends an order, which may be long after the order was decided on.
-class OrderPermission
+/// sends a request, which may be long after the request was decided on.
+class ActPermission
 {
 public:
-  explicit OrderPermission(core::Instant aActUntil) { ExtendTo(aActUntil); }
+  explicit ActPermission(core::Instant aActUntil) { ExtendTo(aActUntil); }
 
   /// Ignored after Revoke.
   void ExtendTo(core::Instant aActUntil)
@@ -28,9 +28,9 @@
     m_actUntil.store(core::Instant::min().time_since_epoch().count());
   }
 
-  /// Returns the instant before which an order must be sent. Engines that check
-  /// fencing tokens refuse outdated orders themselves, so they may be sent
-  /// orders until the permission is revoked.
+  /// Returns the instant before which a request must be sent. Peers that check
+  /// fencing tokens refuse outdated requests themselves, so they may be sent
+  /// requests until the permission is revoked.
   core::Instant SendBefore(bool aChecksFencingToken) const
   {
     if (aChecksFencingToken && !m_revoked.load()) {
@@ -44,4 +44,4 @@
   std::atomic<core::Duration::rep> m_actUntil{ 0 };
 };
 
-} // namespace heatherdeal::weights
+} // namespace heatherdeal::lease
--- a/src/weights/internal/orderdelivery.h
+++ b/src/weights/internal/orderdelivery.h
@@ -7,7 +7,7 @@
 #include "boost/asio/awaitable.hpp"
 
 #include "http/client.h"
-#include "weights/internal/orderpermission.h"
+#include "lease/actpermission.h"
 #include "weights/rollingupdate.h"
 
 namespace heatherdeal::weights {
@@ -20,7 +20,7 @@
   std::string m_holder;
   std::string m_weightSet;
   bool m_checksFencingToken = true;
-  std::shared_ptr<const OrderPermission> m_permission;
+  std::shared_ptr<const lease::ActPermission> m_permission;
 };
 
 /// Receives the outcome of an order, on the traffic thread that sent it.
--- a/src/weights/internal/weightupdater.cpp
+++ b/src/weights/internal/weightupdater.cpp
@@ -62,7 +62,7 @@
 void
 WeightUpdater::OnLeaseGranted(const lease::LeaseGranted& aGrant)
 {
-  m_permission = std::make_shared<OrderPermission>(aGrant.m_actUntil);
+  m_permission = std::make_shared<lease::ActPermission>(aGrant.m_actUntil);
   m_grant = LeaseAcquired{ aGrant.m_epoch,
                            aGrant.m_actUntil,
                            aGrant.m_predecessorActedUntil };
--- a/src/weights/internal/weightupdater.h
+++ b/src/weights/internal/weightupdater.h
@@ -6,10 +6,10 @@
 #include "configuration/document.h"
 #include "http/client.h"
 #include "kernel/deadlinetimer.h"
+#include "lease/actpermission.h"
 #include "lease/leaseclient.h"
 #include "objectstore/hosts.h"
 #include "weights/assignment.h"
-#include "weights/internal/orderpermission.h"
 #include "weights/rollingupdate.h"
 
 namespace heatherdeal::weights {
@@ -75,7 +75,7 @@
   /// The lease as it was granted and extended; empty if it is not held.
   std::optional<LeaseAcquired> m_grant;
   /// The permission for orders under the current lease; null before the first.
-  std::shared_ptr<OrderPermission> m_permission;
+  std::shared_ptr<lease::ActPermission> m_permission;
   /// The reason that was logged last, by weight set.
   std::map<std::string, OrderDelay, std::less<>> m_loggedDelays;
   /// Since when an engine has served an older version than the target; empty if
--- a/src/weights/tests/takeovertest.cpp
+++ b/src/weights/tests/takeovertest.cpp
@@ -10,10 +10,10 @@
 #include "catch2/catch.hpp"
 #include "rapidcheck.h"
 
+#include "lease/actpermission.h"
 #include "lease/lease.h"
 #include "virtualworld/eventqueue.h"
 #include "virtualworld/fakestore.h"
-#include "weights/internal/orderpermission.h"
 #include "weights/rollingupdate.h"
 
 namespace heatherdeal::weights {
@@ -227,7 +227,7 @@
 
   void Perform(const lease::LeaseGranted& aGrant)
   {
-    m_permission = std::make_shared<OrderPermission>(aGrant.m_actUntil);
+    m_permission = std::make_shared<lease::ActPermission>(aGrant.m_actUntil);
     ApplyUpdateEvent(LeaseAcquired{
       aGrant.m_epoch, aGrant.m_actUntil, aGrant.m_predecessorActedUntil });
   }
@@ -289,7 +289,7 @@
   core::Instant m_pausedUntil{};
   lease::LeaseState m_lease;
   RollingUpdateState m_update;
-  std::shared_ptr<OrderPermission> m_permission;
+  std::shared_ptr<lease::ActPermission> m_permission;
   uint64_t m_leaseTimer = 0;
   uint64_t m_updateTimer = 0;
 };
