Report callers' requests by customer and window

The platform's control service wants one report of each window of 5 s, from one holder at a time, with content that never changes.

Entry hosts count requests when their first executed answer arrives, by the time at which that attempt was sent, and send cumulative counts to the holder. The holder is a rollout host with the lease leases/usage; its name travels as gossip topic "usage". It closes a window when all entry hosts that are heard of have sent their final counts, creates the content in the store, and only then sends it. The next holder lists the contents and sends the same ones. ObjectStore gains a plain List for this. Enabled only if the deployment's settings have "cloud".

--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -58,6 +58,25 @@
   PostResult(aContext, std::move(aDone), std::move(object));
 }
 
+asio::awaitable<void>
+ListAndPostResult(kernel::Context& aContext,
+                  std::shared_ptr<StoreTransport> aTransport,
+                  std::string aKind,
+                  core::Instant aDeadline,
+                  ObjectStore::ListCallback aDone)
+{
+  const RequestSender sendRequest = MakeRequestSender(aTransport);
+  ListRequest request;
+  request.m_kind = std::move(aKind);
+  absl::StatusOr<ObjectList> list = co_await ListObjects(
+    sendRequest, CodecInUse(), std::move(request), aDeadline);
+  absl::StatusOr<std::vector<StoredObject>> objects =
+    list.ok()
+      ? absl::StatusOr<std::vector<StoredObject>>(std::move(list->m_objects))
+      : list.status();
+  PostResult(aContext, std::move(aDone), std::move(objects));
+}
+
 asio::awaitable<void>
 ExecuteAndPostResult(kernel::Context& aContext,
                      std::shared_ptr<StoreTransport> aTransport,
@@ -172,6 +191,23 @@
                  asio::detached);
 }
 
+void
+ObjectStore::List(std::string aKind, CallPriority aPriority, ListCallback aDone)
+{
+  if (!TryTakeCall(m_budget, m_settings.m_budget, aPriority, kernel::Now())) {
+    m_context.Metrics().Get("objectstore.over_budget").Add();
+    aDone(core::ToStatus(core::Overload{ "object API calls" }));
+    return;
+  }
+  asio::co_spawn(m_context.Traffic().Loop(kLoopIndex),
+                 ListAndPostResult(m_context,
+                                   m_transport,
+                                   std::move(aKind),
+                                   kernel::Now() + m_settings.m_callTimeout,
+                                   std::move(aDone)),
+                 asio::detached);
+}
+
 void
 ObjectStore::Write(ObjectKey aKey,
                    uint64_t aExpectedVersion,
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -52,6 +52,8 @@
 public:
   using ReadCallback = std::function<void(absl::StatusOr<StoredObject>)>;
   using WriteCallback = std::function<void(absl::StatusOr<uint64_t>)>;
+  using ListCallback =
+    std::function<void(absl::StatusOr<std::vector<StoredObject>>)>;
   /// Receives true if the store executed the call.
   using DoneCallback = std::function<void(bool)>;
   using WatchCallback = std::function<void(std::span<const StoredObject>)>;
@@ -71,6 +73,10 @@
                          CallPriority aPriority,
                          ReadCallback aDone);
 
+  /// Lists the latest versions of all objects of the kind. Fails with Overload
+  /// if the call budget is exhausted.
+  void List(std::string aKind, CallPriority aPriority, ListCallback aDone);
+
   /// Writes the object if its version is still aExpectedVersion (0 if it must
   /// not exist). If the response is lost, the object is read back to find out
   /// whether the write took effect. The callback receives the new version, a
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -140,9 +140,71 @@
   }
 }
 
+/// Counts a caller's request once, however often it is tried. A request that
+/// was sent without an answer may have run, and is counted when its call ends.
+class Relay::StartRecorder
+{
+public:
+  StartRecorder(std::shared_ptr<usage::UsageCounter> aCounter,
+                const RoutedCall& aCall)
+    : m_customer(aCall.m_customer)
+  {
+    // A call that came by way of another host is counted there.
+    const bool isCounted =
+      aCall.m_mayDetour && std::holds_alternative<CallerOrigin>(aCall.m_origin);
+    if (isCounted && !m_customer.m_value.empty()) {
+      m_counter = std::move(aCounter);
+    }
+  }
+  ~StartRecorder()
+  {
+    if (m_unansweredSentAt) {
+      Record(*m_unansweredSentAt);
+    }
+  }
+  StartRecorder(const StartRecorder&) = delete;
+  StartRecorder& operator=(const StartRecorder&) = delete;
+
+  /// Sets the time at which the next attempt is sent.
+  void SetSendTime(int64_t aUnixMilliseconds) { m_sentAt = aUnixMilliseconds; }
+  /// The upstream has executed the attempt.
+  void ReportExecuted() { Record(m_sentAt); }
+  /// The attempt has ended without an answer that tells whether it was
+  /// executed.
+  void ReportFailure(const core::Failure& aFailure)
+  {
+    if (core::ExecutedOf(aFailure) != core::Executed::No &&
+        !m_unansweredSentAt) {
+      m_unansweredSentAt = m_sentAt;
+    }
+  }
+
+private:
+  void Record(int64_t aUnixMilliseconds)
+  {
+    if (m_counter) {
+      m_counter->RecordStart(m_customer, aUnixMilliseconds);
+      m_counter.reset();
+    }
+  }
+
+  core::CustomerId m_customer;
+  /// Null if the request is not to be counted, or has been.
+  std::shared_ptr<usage::UsageCounter> m_counter;
+  int64_t m_sentAt = 0;
+  std::optional<int64_t> m_unansweredSentAt;
+};
+
 /// The state of one call across its attempts.
 struct Relay::CallState
 {
+  explicit CallState(std::shared_ptr<usage::UsageCounter> aCounter,
+                     const RoutedCall& aCall)
+    : m_start(std::move(aCounter), aCall)
+  {
+  }
+
+  StartRecorder m_start;
   bool m_isCountedAsDemand = false;
   std::optional<WaitingCall> m_waiting;
   forwarding::CallProgress m_retryProgress;
@@ -167,6 +229,7 @@
   , m_quarantine(aContext.Get<quarantine::Quarantine>())
   , m_limits(aContext.Get<limits::UpstreamLimits>())
   , m_streamOrigins(aContext.Get<resumption::StreamOrigins>())
+  , m_usage(aContext.Get<usage::UsageCounter>())
   , m_reach(std::make_shared<ReachMonitor>(aContext))
   , m_peers(std::make_shared<PeerRelay>(aContext, m_reach))
 {
@@ -188,7 +251,8 @@
 Relay::ReadResponse(http::ResponseStream& aStream,
                     const RoutedCall& aCall,
                     routing::UpstreamReservation& aReservation,
-                    core::Instant aDeadline)
+                    core::Instant aDeadline,
+                    StartRecorder& aStart)
 {
   const http::ResponseHead& head = aStream.Head();
   const DecodedHead decodedHead = CodecInUse().m_decodeHead(head, aCall.m_id);
@@ -208,6 +272,7 @@
     co_return core::ToStatus(
       MakeNotExecutedFailure(aReservation, head.m_status));
   }
+  aStart.ReportExecuted();
   if (IsSuccess(head.m_status) && served->m_proof.empty()) {
     aStream.Abandon();
     co_return core::ToStatus(
@@ -315,6 +380,7 @@
   context.m_customer = aCall.m_customer;
   context.m_timeLeft = deadline - now;
   CodecInUse().m_encodeRequest(request, context);
+  aState.m_start.SetSendTime(kernel::UnixMilliseconds());
   const http::Reuse reuse = IsIdempotent(aCall.m_route.m_kind)
                               ? http::Reuse::Allowed
                               : http::Reuse::Never;
@@ -326,6 +392,7 @@
                               aCall.m_abort);
   if (!opened.ok()) {
     RecordOutcome(aCall, *reservation, now, opened.status());
+    aState.m_start.ReportFailure(http::FailureOf(opened.status()));
     if (!IsAborted(aCall)) {
       aState.m_isUnanswered = true;
       m_reach->ReportUnanswered();
@@ -333,8 +400,11 @@
     co_return opened.status();
   }
   const std::unique_ptr<http::ResponseStream> stream = *std::move(opened);
-  absl::StatusOr<RoutedResponse> response =
-    co_await ReadResponse(*stream, aCall, *reservation, deadline);
+  absl::StatusOr<RoutedResponse> response = co_await ReadResponse(
+    *stream, aCall, *reservation, deadline, aState.m_start);
+  if (!response.ok()) {
+    aState.m_start.ReportFailure(http::FailureOf(response.status()));
+  }
   RecordOutcome(aCall, *reservation, now, response.status());
   const bool beginsStream =
     std::holds_alternative<configuration::StreamRequests>(
@@ -383,9 +453,11 @@
                     aState.m_retryProgress.m_attempts,
                     kernel::Now(),
                     aCall.m_deadline);
+  aState.m_start.SetSendTime(kernel::UnixMilliseconds());
   absl::StatusOr<PeerResponse> response =
     co_await m_peers->Send(aLoopIndex, aPeer, aCall, deadline);
   if (!response.ok()) {
+    aState.m_start.ReportFailure(http::FailureOf(response.status()));
     co_return response.status();
   }
   kernel::LogEvent(kernel::LogLevel::Info,
@@ -403,6 +475,7 @@
   if (served == nullptr) {
     co_return core::ToStatus(core::UnprovedResponse{ aPeer.m_name });
   }
+  aState.m_start.ReportExecuted();
   co_return RoutedResponse{ std::move(response->m_response),
                             served->m_proof,
                             response->m_upstream };
@@ -493,7 +566,7 @@
 asio::awaitable<absl::StatusOr<RoutedResponse>>
 Relay::SendWithRetries(size_t aLoopIndex, RoutedCall aCall)
 {
-  CallState state;
+  CallState state(m_usage, aCall);
   const core::Instant arrivedAt = kernel::Now();
   state.m_refusalRetryDeadline =
     RefusalRetryDeadline(aCall.m_route, arrivedAt, aCall.m_deadline);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -19,6 +19,7 @@
 #include "relay/upstreamcodec.h"
 #include "resumption/streamorigins.h"
 #include "routing/pool.h"
+#include "usage/usagecounter.h"
 
 namespace heatherdeal::relay {
 
@@ -113,6 +114,7 @@
 
 private:
   struct CallState;
+  class StartRecorder;
 
   /// Returns the host by way of which the call should go now, if any.
   std::optional<objectstore::HostEntry> ChoosePeer(const RoutedCall& aCall,
@@ -131,7 +133,8 @@
     http::ResponseStream& aStream,
     const RoutedCall& aCall,
     routing::UpstreamReservation& aReservation,
-    core::Instant aDeadline);
+    core::Instant aDeadline,
+    StartRecorder& aStart);
   /// Returns the service that the next attempt goes to: the one that began the
   /// stream, or one by the weights of the route.
   core::ServiceId ChooseService(const RoutedCall& aCall,
@@ -163,6 +166,8 @@
   std::shared_ptr<quarantine::Quarantine> m_quarantine;
   std::shared_ptr<limits::UpstreamLimits> m_limits;
   std::shared_ptr<resumption::StreamOrigins> m_streamOrigins;
+  /// Null on hosts that do not count.
+  std::shared_ptr<usage::UsageCounter> m_usage;
   std::shared_ptr<ReachMonitor> m_reach;
   std::shared_ptr<PeerRelay> m_peers;
   std::atomic<uint64_t> m_nextSequence{ 0 };
--- a/src/relay/relaymodule.cpp
+++ b/src/relay/relaymodule.cpp
@@ -11,6 +11,7 @@
 #include "relay/relay.h"
 #include "resumption/resumptionmodule.h"
 #include "routing/routingmodule.h"
+#include "usage/usagemodule.h"
 
 namespace heatherdeal::relay {
 
@@ -32,7 +33,7 @@
 constexpr std::string_view kDependencies[] = {
   configuration::kModuleName, gossip::kModuleName,     http::kModuleName,
   limits::kModuleName,        quarantine::kModuleName, resumption::kModuleName,
-  routing::kModuleName
+  routing::kModuleName,       usage::kModuleName
 };
 
 const kernel::PluginRegistration kRegistration{ {
--- /dev/null
+++ b/src/usage/internal/countsender.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "kernel/context.h"
+#include "kernel/deadlinetimer.h"
+#include "usage/internal/holderannouncement.h"
+#include "usage/internal/usagesettings.h"
+#include "usage/usagecounter.h"
+
+namespace heatherdeal::usage {
+
+/// Sends what this host counts to the holder. Control thread only.
+class CountSender : public std::enable_shared_from_this<CountSender>
+{
+public:
+  CountSender(kernel::Context& aContext,
+              const UsageSettings& aSettings,
+              std::shared_ptr<UsageCounter> aCounter,
+              std::shared_ptr<HolderAnnouncement> aAnnouncement);
+
+  void Start();
+  /// Sends more often until the process ends.
+  void Drain();
+
+  const CountSending& State() const { return m_state; }
+
+private:
+  void Tick();
+  void ScheduleTick();
+  void SendIfDue();
+  void Send(const core::Endpoint& aHolder, PreparedMessage aMessage);
+  void HandleResponse(const PreparedMessage& aMessage,
+                      const std::optional<CountReceipt>& aReceipt,
+                      const std::optional<Holder>& aNewerHolder);
+  std::optional<core::Endpoint> FindHolder() const;
+  /// Returns the time between two messages for the present number of hosts.
+  int64_t SendIntervalMilliseconds() const;
+
+  kernel::Context& m_context;
+  ReportingPolicy m_policy;
+  std::shared_ptr<UsageCounter> m_counter;
+  std::shared_ptr<HolderAnnouncement> m_announcement;
+  CountSending m_state;
+  /// Identifies this run; increases with each start.
+  uint64_t m_run;
+  /// Offset of this host's messages within an interval, so that the hosts do
+  /// not send at the same time.
+  int64_t m_phaseMilliseconds;
+  bool m_isDraining = false;
+  kernel::DeadlineTimer m_timer;
+};
+
+} // namespace heatherdeal::usage
