Bound the work time that an upstream can claim

A report of one percent made an upstream seem a hundred times as fast as usual. Reports are now taken within a quarter and ten times of the usual, a range that the measured times of requests can correct.

--- a/src/routing/decisions/worktime.cpp
+++ b/src/routing/decisions/worktime.cpp
@@ -12,8 +12,10 @@
 // The time constant of the mean of the reports. It covers several phases, and
 // does not depend on how often this host gets a report.
 constexpr core::Duration kMeanReportTime = std::chrono::seconds(5);
-constexpr double kMinReported = 0.1;
-constexpr double kMaxReported = 20.0;
+// Reports out of these bounds are wrong. What requests take corrects a lasting
+// error up to the factor that the bounds of m_unreported allow.
+constexpr double kMinReported = 0.25;
+constexpr double kMaxReported = 10.0;
 // The ratio of one request varies as much as its cost does within its class.
 constexpr uint32_t kDecaySamples = 32;
 // Until there are several samples, an upstream counts as usual.
--- a/src/routing/tests/expectedworktest.cpp
+++ b/src/routing/tests/expectedworktest.cpp
@@ -240,4 +240,18 @@
   CHECK(ExpectWorkTime(state, kNow) == Approx(1.6).epsilon(0.1));
 }
 
+// Guards against an upstream that attracts all requests by a wrong report.
+TEST_CASE("what requests take corrects a work time that is reported too low")
+{
+  WorkTimeState state;
+  RecordReport(state, 0.01, kNow);
+  const double claimed = ExpectWorkTime(state, kNow);
+  CHECK(claimed >= 0.25);
+  for (int i = 0; i < 100; ++i) {
+    RecordReport(state, 0.01, kNow);
+    RecordRatio(state, 1.0 / claimed);
+  }
+  CHECK(ExpectWorkTime(state, kNow) == Approx(1.0).epsilon(0.15));
+}
+
 } // namespace heatherdeal::routing
--- a/src/routing/tests/pooltest.cpp
+++ b/src/routing/tests/pooltest.cpp
@@ -1,5 +1,7 @@
 #include "routing/pool.h"
 
+#include <cstdio>
+
 #include "catch2/catch.hpp"
 
 #include "kernel/controlthread.h"
@@ -105,4 +107,33 @@
   CHECK(KeyOf({ "other", 300, 0 }) != key);
 }
 
+// Prints the time of one reservation by policy for
+// docs/design/expected-work.md.
+TEST_CASE("cost of a reservation", "[.cost]")
+{
+  constexpr int kReservations = 500'000;
+  for (const bool isByWork : { false, true }) {
+    kernel::Counters counters;
+    Router router("d0", counters, { .m_prefersExpectedWork = isByWork });
+    router.SetDocument(MakeDocument(configuration::PlainServers{}));
+    std::vector<objectstore::HostEntry> hosts;
+    for (int i = 0; i < 18; ++i) {
+      hosts.push_back(MakeHost("u" + std::to_string(i)));
+    }
+    router.SetHosts(hosts);
+    const auto pool = router.FindPool("desk");
+    const core::Instant start = kernel::Now();
+    for (int i = 0; i < kReservations; ++i) {
+      const auto reservation = router.ReserveUpstream(
+        pool, { "route", 100, 0 }, {}, start + core::Duration(i));
+      reservation->ReportLoad({ 1, 0, 6, 1.0 }, start + core::Duration(i));
+      reservation->ReportCompletion(start, start + core::Duration(25'000));
+    }
+    const auto elapsed = kernel::Now() - start;
+    std::printf("%s: %.0f ns\n",
+                isByWork ? "expected work" : "two choices",
+                1000.0 * static_cast<double>(elapsed.count()) / kReservations);
+  }
+}
+
 } // namespace heatherdeal::routing
