Name the load that each test of expected work answers

The comparison with two choices now also covers the time before the first answer, which is what a host falls back to without reports and estimates.

--- a/src/routing/tests/expectedworktest.cpp
+++ b/src/routing/tests/expectedworktest.cpp
@@ -64,7 +64,9 @@
 TEST_CASE("with equal requests and upstreams, expected work is TwoChoices")
 {
   std::mt19937_64 random(7);
-  const ExpectedWork work{ 25'000.0, 25'000.0, 25'000.0 };
+  // The latter is the expectation before the first answer.
+  const ExpectedWork work =
+    GENERATE(ExpectedWork{ 25'000.0, 25'000.0, 25'000.0 }, ExpectedWork{});
   for (int round = 0; round < 300; ++round) {
     auto facts = MakeFacts(18);
     for (UpstreamFacts& upstream : facts) {
@@ -135,6 +137,8 @@
   CHECK(counts[0] + counts[3] + counts[6] > 700);
 }
 
+// Guards against too many requests to an upstream whose slots have changed
+// since the host list was written (load: upstreams of different sizes).
 TEST_CASE("a reported slot count replaces the one of the host list")
 {
   auto facts = MakeFacts(2);
@@ -147,6 +151,8 @@
   CHECK(counts[1] > 2 * counts[0]);
 }
 
+// Guards against one estimate for short and long calls, and against a new route
+// that counts as free (load: calls of 20 ms and 200 ms on one service).
 TEST_CASE("classes are told apart, and an unknown one has the service's mean")
 {
   WorkEstimates estimates;
@@ -167,7 +173,8 @@
         Estimate(estimates, kCheap).m_mean * 1.3);
 }
 
-// Guards against one stalled answer that sends later requests elsewhere.
+// Guards against one stalled answer that sends later requests elsewhere (load:
+// calls with a tail, and a machine that freezes for seconds).
 TEST_CASE("one wrong sample moves an estimate by less than a quarter")
 {
   WorkEstimates estimates;
@@ -181,6 +188,8 @@
   CHECK(Estimate(estimates, kCheap).m_request < 1.02 * before);
 }
 
+// Guards against an estimate that stays after a new release of an upstream
+// changed the cost (load: calls that take four times as long from now on).
 TEST_CASE("an estimate follows a lasting change of the cost")
 {
   WorkEstimates estimates;
@@ -190,7 +199,8 @@
         Approx(100'000.0).epsilon(0.1));
 }
 
-// Guards against estimates that grow with the queue of a full upstream.
+// Guards against estimates that grow with the queue of a full upstream (load:
+// more requests than slots).
 TEST_CASE("samples that contain a wait are used only without any other")
 {
   WorkEstimates estimates;
@@ -203,6 +213,8 @@
   CHECK(Estimate(estimates, kCheap).m_request == before);
 }
 
+// Guards against estimates that depend on which machines served the samples
+// (load: machines in slow phases).
 TEST_CASE("samples are normalised by the reported work time")
 {
   WorkEstimates estimates;
@@ -212,6 +224,8 @@
   CHECK(Estimate(estimates, kCheap).m_request == Approx(25'000.0));
 }
 
+// Guards against memory that grows with the number of routes and sizes (load:
+// callers with arbitrary body sizes, routes that change).
 TEST_CASE("the number of classes is bounded")
 {
   WorkEstimates estimates;
@@ -224,6 +238,8 @@
   CHECK(estimates.m_classes.contains({ 999 }));
 }
 
+// Guards against an upstream that a few requests make seem unusable (load:
+// upstreams that report no work time).
 TEST_CASE("work time learned from requests is bounded and starts as usual")
 {
   WorkTimeState state;
@@ -240,7 +256,8 @@
   CHECK(ExpectWorkTime(state, kNow) == Approx(1.6).epsilon(0.1));
 }
 
-// Guards against an upstream that attracts all requests by a wrong report.
+// Guards against an upstream that attracts all requests by a wrong report
+// (load: a machine whose fourth figure is 1).
 TEST_CASE("what requests take corrects a work time that is reported too low")
 {
   WorkTimeState state;
