--- a/src/routing/tests/expectedworktest.cpp
+++ b/src/routing/tests/expectedworktest.cpp
@@ -64,7 +64,9 @@
 TEST_CASE("with equal requests and upstreams, expected work is TwoChoices")
 {
   std::mt19937_64 random(7);
-  const ExpectedWork work{ 25'000.0, 25'000.0, 25'000.0 };
+  // The latter is the expectation before the first answer.
+  const ExpectedWork work =
+    GENERATE(ExpectedWork{ 25'000.0, 25'000.0, 25'000.0 }, ExpectedWork{});
   for (int round = 0; round < 300; ++round) {
     auto facts = MakeFacts(18);
     for (UpstreamFacts& upstream : facts) {
@@ -118,6 +120,25 @@
   CHECK(CountChoices(facts, work)[0] > 400);
 }
 
+// Guards against a request that waits in a slow phase because both upstreams
+// that were compared are in one (load: phases of 600 ms on many machines).
+TEST_CASE("more upstreams are compared if the chosen one is in a slow phase")
+{
+  auto facts = MakeFacts(9);
+  for (size_t i = 0; i < facts.size(); ++i) {
+    RecordReport(facts[i].m_workTime, 1.0, kNow - seconds(2));
+    if (i % 3 != 0) {
+      RecordReport(facts[i].m_workTime, 2.5, kNow);
+      facts[i].m_workTime.m_meanReported = 1.1;
+    }
+  }
+  const auto counts = CountChoices(facts, { 25'000.0, 25'000.0, 25'000.0 });
+  // Of two upstreams, both are slow in 4 of 9 draws; of four, in 16 of 81.
+  CHECK(counts[0] + counts[3] + counts[6] > 700);
+}
+
+// Guards against too many requests to an upstream whose slots have changed
+// since the host list was written (load: upstreams of different sizes).
 TEST_CASE("a reported slot count replaces the one of the host list")
 {
   auto facts = MakeFacts(2);
@@ -130,6 +151,8 @@
   CHECK(counts[1] > 2 * counts[0]);
 }
 
+// Guards against one estimate for short and long calls, and against a new route
+// that counts as free (load: calls of 20 ms and 200 ms on one service).
 TEST_CASE("classes are told apart, and an unknown one has the service's mean")
 {
   WorkEstimates estimates;
@@ -150,7 +173,8 @@
         Estimate(estimates, kCheap).m_mean * 1.3);
 }
 
-// Guards against one stalled answer that sends later requests elsewhere.
+// Guards against one stalled answer that sends later requests elsewhere (load:
+// calls with a tail, and a machine that freezes for seconds).
 TEST_CASE("one wrong sample moves an estimate by less than a quarter")
 {
   WorkEstimates estimates;
@@ -164,6 +188,8 @@
   CHECK(Estimate(estimates, kCheap).m_request < 1.02 * before);
 }
 
+// Guards against an estimate that stays after a new release of an upstream
+// changed the cost (load: calls that take four times as long from now on).
 TEST_CASE("an estimate follows a lasting change of the cost")
 {
   WorkEstimates estimates;
@@ -173,7 +199,8 @@
         Approx(100'000.0).epsilon(0.1));
 }
 
-// Guards against estimates that grow with the queue of a full upstream.
+// Guards against estimates that grow with the queue of a full upstream (load:
+// more requests than slots).
 TEST_CASE("samples that contain a wait are used only without any other")
 {
   WorkEstimates estimates;
@@ -186,6 +213,8 @@
   CHECK(Estimate(estimates, kCheap).m_request == before);
 }
 
+// Guards against estimates that depend on which machines served the samples
+// (load: machines in slow phases).
 TEST_CASE("samples are normalised by the reported work time")
 {
   WorkEstimates estimates;
@@ -195,6 +224,8 @@
   CHECK(Estimate(estimates, kCheap).m_request == Approx(25'000.0));
 }
 
+// Guards against memory that grows with the number of routes and sizes (load:
+// callers with arbitrary body sizes, routes that change).
 TEST_CASE("the number of classes is bounded")
 {
   WorkEstimates estimates;
@@ -207,6 +238,8 @@
   CHECK(estimates.m_classes.contains({ 999 }));
 }
 
+// Guards against an upstream that a few requests make seem unusable (load:
+// upstreams that report no work time).
 TEST_CASE("work time learned from requests is bounded and starts as usual")
 {
   WorkTimeState state;
@@ -223,4 +256,19 @@
   CHECK(ExpectWorkTime(state, kNow) == Approx(1.6).epsilon(0.1));
 }
 
+// Guards against an upstream that attracts all requests by a wrong report
+// (load: a machine whose fourth figure is 1).
+TEST_CASE("what requests take corrects a work time that is reported too low")
+{
+  WorkTimeState state;
+  RecordReport(state, 0.01, kNow);
+  const double claimed = ExpectWorkTime(state, kNow);
+  CHECK(claimed >= 0.25);
+  for (int i = 0; i < 100; ++i) {
+    RecordReport(state, 0.01, kNow);
+    RecordRatio(state, 1.0 / claimed);
+  }
+  CHECK(ExpectWorkTime(state, kNow) == Approx(1.0).epsilon(0.15));
+}
+
 } // namespace heatherdeal::routing
