--- a/src/usage/decisions/reporting.cpp
+++ b/src/usage/decisions/reporting.cpp
@@ -75,7 +75,12 @@
   const ReportingPolicy& policy = aState.m_policy;
   const int64_t age = AgeOf(aState, aId, aMoment);
   if (age > policy.m_newestContentMilliseconds) {
-    GiveUp(aId, aWindow, aEffects);
+    const bool isOwn = aId >= aState.m_term->m_firstOwnWindow;
+    if (isOwn || !MergeCounts(aState.m_collection, aId).empty()) {
+      GiveUp(aId, aWindow, aEffects);
+    } else {
+      aWindow.m_phase = GivenUp{};
+    }
     return;
   }
   const bool isFinal =
@@ -89,9 +94,10 @@
     return;
   }
   CustomerCounts counts = MergeCounts(aState.m_collection, aId);
-  // Nobody remembers the window, and an empty report would be late anyway.
+  // Nobody remembers the window, and an empty report would be late anyway. For
+  // each new holder, that is so for the windows before the hosts started.
   if (counts.empty() && IsOverdue(aState, aId, aMoment)) {
-    GiveUp(aId, aWindow, aEffects);
+    aWindow.m_phase = GivenUp{};
     return;
   }
   aWindow.m_phase = WritingContent{ std::move(counts), aMoment.m_now, false };
@@ -251,6 +257,8 @@
   term.m_epoch = aEvent.m_epoch;
   term.m_grantedAt = aMoment.m_now;
   term.m_sendFrom = aMoment.m_now;
+  term.m_firstOwnWindow =
+    WindowAt(aMoment.m_unixMilliseconds, aState.m_policy.m_windowMilliseconds);
   term.m_nextWindow = FirstOpenWindow(aState.m_policy, aMoment);
   if (!aState.m_policy.m_serviceChecksFences &&
       aEvent.m_predecessorActedUntil) {
@@ -284,10 +292,13 @@
     return;
   }
   term.m_hasListed = true;
-  // Contents that are too old to be sent are only removed; the next steps see
-  // to both.
   for (const auto& [id, counts] : *aEvent.m_contents) {
-    term.m_windows[id] = { SendingContent{ counts, aMoment.m_now, false },
+    // A content that is too old to be sent is only removed.
+    const bool isOld =
+      AgeOf(aState, id, aMoment) > aState.m_policy.m_lastSendMilliseconds;
+    term.m_windows[id] = { isOld ? WindowPhase(GivenUp{})
+                                 : WindowPhase(SendingContent{
+                                     counts, aMoment.m_now, false }),
                            true };
   }
 }
--- a/src/usage/reporting.h
+++ b/src/usage/reporting.h
@@ -92,6 +92,8 @@
   /// True if the service has seen a higher fencing token.
   bool m_isFenced = false;
   core::Instant m_nextSendAt{};
+  /// The window during which the duty was granted.
+  WindowId m_firstOwnWindow = 0;
   /// The next window that has to be added to m_windows when it ends.
   WindowId m_nextWindow = 0;
   std::map<WindowId, ReportedWindow> m_windows;
@@ -208,7 +210,7 @@
   WindowId m_window = 0;
 };
 
-/// The window will not be reported by this holder.
+/// The window will not be reported by this holder, although it should be.
 struct GiveUpWindow
 {
   WindowId m_window = 0;
--- a/src/usage/tests/reportingtest.cpp
+++ b/src/usage/tests/reportingtest.cpp
@@ -230,6 +230,20 @@
   }
 }
 
+// Guards against log lines for each old window at each takeover.
+TEST_CASE("a new holder gives up windows that nobody remembers without a word")
+{
+  TestHolder holder;
+  holder.Take(0, { { 70, {} }, { 99, {} } });
+  size_t givenUp = Take<GiveUpWindow>(holder.Tick(100)).size();
+  holder.Receive(9, 100, 8100);
+  for (int64_t now = 8200; now < 20'000; now += 200) {
+    givenUp += Take<GiveUpWindow>(holder.Tick(now)).size();
+  }
+  CHECK(givenUp == 0);
+  CHECK(DecidedThrough(holder.m_state) == 99);
+}
+
 // Guards against deadlines in the past, which would make the timer spin.
 TEST_CASE("the next deadline is in the future")
 {
