Pass on counts of hosts that cannot reach the holder

A host whose link to the holder is broken had its counts left out of the reports, although other rollout hosts reach both.

Such a host sends its counts by way of another rollout host for 10 s, at once after the first failure. That host passes on messages for the epoch of the holder that it knows, once.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -13,6 +13,7 @@
   quarantine/suspects.h
   rollout/policy.h rollout/shard.h
   routing/choice.h routing/ejection.h routing/pacing.h
+  usage/collection.h usage/countsending.h usage/reporting.h usage/windowcounts.h
   weights/rollingupdate.h)
 foreach(header ${public_headers})
   get_filename_component(folder ${header} DIRECTORY)
--- a/src/usage/internal/countsender.cpp
+++ b/src/usage/internal/countsender.cpp
@@ -3,6 +3,7 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 
+#include "gossip/gossip.h"
 #include "http/client.h"
 #include "objectstore/hosts.h"
 #include "usage/internal/countscodec.h"
@@ -29,12 +30,17 @@
 constexpr int64_t kMessagesPerSecond = 150;
 constexpr int64_t kMaxIntervalMilliseconds = 3000;
 
+// How long messages go by way of another host before the holder is tried again.
+constexpr core::Duration kDetourTime = std::chrono::seconds(10);
+
 /// What came back for a message.
 struct SendResult
 {
   std::optional<CountReceipt> m_receipt;
   /// The holder, if the message went to a host that is not the holder.
   std::optional<Holder> m_newerHolder;
+  /// True if there was no answer of the holder.
+  bool m_isUnreachable = false;
 };
 
 SendResult
@@ -42,6 +48,7 @@
 {
   SendResult result;
   if (!aResponse.ok()) {
+    result.m_isUnreachable = true;
     return result;
   }
   if (aResponse->m_head.m_status == kOk) {
@@ -54,6 +61,8 @@
     if (holder.ok()) {
       result.m_newerHolder = *holder;
     }
+  } else {
+    result.m_isUnreachable = true;
   }
   return result;
 }
@@ -81,6 +90,7 @@
   m_announcement->Subscribe([weak = weak_from_this()](const Holder& aHolder) {
     if (const auto self = weak.lock()) {
       SetHolder(self->m_state, aHolder);
+      self->m_detour.clear();
       self->SendIfDue();
     }
   });
@@ -125,12 +135,37 @@
   ScheduleTick();
 }
 
+void
+CountSender::ChooseDetour()
+{
+  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
+  const auto gossip = m_context.Get<gossip::Gossip>();
+  std::vector<std::string> candidates;
+  for (const objectstore::HostEntry& host : *hosts) {
+    if (host.m_service == objectstore::kRolloutRole &&
+        host.m_name != m_state.m_holder.m_host && host.m_name != m_detour &&
+        gossip->IsAvailable(host.m_name)) {
+      candidates.push_back(host.m_name);
+    }
+  }
+  m_detour.clear();
+  if (!candidates.empty()) {
+    // Differs between hosts, so that one host does not pass on all counts.
+    const size_t index =
+      static_cast<size_t>(m_phaseMilliseconds) + m_detourCount++;
+    m_detour = candidates[index % candidates.size()];
+    m_detourUntil = kernel::Now() + kDetourTime;
+  }
+}
+
 std::optional<core::Endpoint>
-CountSender::FindHolder() const
+CountSender::FindTarget() const
 {
+  const std::string& target =
+    m_detour.empty() ? m_state.m_holder.m_host : m_detour;
   const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
-  const auto holder = std::ranges::find(
-    *hosts, m_state.m_holder.m_host, &objectstore::HostEntry::m_name);
+  const auto holder =
+    std::ranges::find(*hosts, target, &objectstore::HostEntry::m_name);
   return holder == hosts->end() ? std::nullopt
                                 : std::optional(holder->m_endpoint);
 }
@@ -147,7 +182,10 @@
     .Set(static_cast<int64_t>(counts.m_windows.size()));
   metrics.GaugeOf("usage.uncounted_starts")
     .Set(static_cast<int64_t>(counts.m_uncountedStarts));
-  const auto endpoint = FindHolder();
+  if (kernel::Now() >= m_detourUntil) {
+    m_detour.clear();
+  }
+  const auto endpoint = FindTarget();
   if (!endpoint) {
     return;
   }
@@ -185,7 +223,8 @@
               kernel::Now() + kSendTimeout);
     aSelf->m_context.Control().Post(
       [aSelf, sent = std::move(aSent), result = DecodeResult(response)] {
-        aSelf->HandleResponse(sent, result.m_receipt, result.m_newerHolder);
+        aSelf->HandleResponse(
+          sent, result.m_receipt, result.m_newerHolder, result.m_isUnreachable);
       });
   };
   asio::co_spawn(
@@ -197,7 +236,8 @@
 void
 CountSender::HandleResponse(const PreparedMessage& aMessage,
                             const std::optional<CountReceipt>& aReceipt,
-                            const std::optional<Holder>& aNewerHolder)
+                            const std::optional<Holder>& aNewerHolder,
+                            bool aIsUnreachable)
 {
   if (!aReceipt) {
     m_context.Metrics().Get("usage.messages_failed").Add();
@@ -206,6 +246,15 @@
   if (aNewerHolder) {
     m_announcement->Announce(*aNewerHolder);
   }
+  const bool isCurrent = aMessage.m_message.m_epoch == m_state.m_holder.m_epoch;
+  if (aIsUnreachable && isCurrent) {
+    const bool wasDirect = m_detour.empty();
+    ChooseDetour();
+    // Otherwise the next message waits for its time, so that nothing loops.
+    if (wasDirect && !m_detour.empty()) {
+      SendIfDue();
+    }
+  }
 }
 
 } // namespace heatherdeal::usage
--- a/src/usage/internal/countsender.h
+++ b/src/usage/internal/countsender.h
@@ -33,8 +33,13 @@
   void Send(const core::Endpoint& aHolder, PreparedMessage aMessage);
   void HandleResponse(const PreparedMessage& aMessage,
                       const std::optional<CountReceipt>& aReceipt,
-                      const std::optional<Holder>& aNewerHolder);
-  std::optional<core::Endpoint> FindHolder() const;
+                      const std::optional<Holder>& aNewerHolder,
+                      bool aIsUnreachable);
+  /// Returns where the next message goes: to the holder, or to a host that
+  /// passes it on while the holder cannot be reached.
+  std::optional<core::Endpoint> FindTarget() const;
+  /// Sends by way of the next other host for a while.
+  void ChooseDetour();
   /// Returns the time between two messages for the present number of hosts.
   int64_t SendIntervalMilliseconds() const;
 
@@ -49,6 +54,10 @@
   /// not send at the same time.
   int64_t m_phaseMilliseconds;
   bool m_isDraining = false;
+  /// The host by way of which messages go; empty if they go directly.
+  std::string m_detour;
+  size_t m_detourCount = 0;
+  core::Instant m_detourUntil{};
   kernel::DeadlineTimer m_timer;
 };
 
--- a/src/usage/internal/dutyholder.cpp
+++ b/src/usage/internal/dutyholder.cpp
@@ -31,6 +31,8 @@
 constexpr core::Duration kCandidateCheckInterval = std::chrono::seconds(1);
 // Gossip hears of the other candidates meanwhile.
 constexpr core::Duration kFirstCandidateDelay = std::chrono::milliseconds(1000);
+// Less than the time that the sender waits.
+constexpr core::Duration kForwardTimeout = std::chrono::milliseconds(1000);
 // If no holder is known after this time, each host competes: the candidates may
 // be unable to reach the store.
 constexpr core::Duration kNoHolderTimeout = std::chrono::seconds(6);
@@ -386,6 +388,46 @@
   return response;
 }
 
+std::optional<core::Endpoint>
+DutyHolder::FindHolderOf(const CountMessage& aMessage) const
+{
+  const Holder& holder = m_announcement->Known();
+  if (holder.m_epoch != aMessage.m_epoch ||
+      holder.m_host == m_context.Self().m_host) {
+    return std::nullopt;
+  }
+  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
+  const auto entry =
+    std::ranges::find(*hosts, holder.m_host, &objectstore::HostEntry::m_name);
+  return entry == hosts->end() ? std::nullopt
+                               : std::optional(entry->m_endpoint);
+}
+
+asio::awaitable<http::Response>
+DutyHolder::Forward(http::Exchange& aExchange, core::Endpoint aHolder)
+{
+  http::Request request;
+  request.m_method = "POST";
+  request.m_target = kCountsPath;
+  request.m_headers.push_back({ std::string(kForwardedHeader), "1" });
+  request.m_body = aExchange.ReceivedRequest().m_body;
+  m_context.Metrics().Get("usage.messages_forwarded").Add();
+  const absl::StatusOr<http::Response> response =
+    co_await m_context.Get<http::Clients>()
+      ->ForLoop(aExchange.LoopIndex())
+      .Call(std::move(aHolder),
+            std::move(request),
+            http::Reuse::Allowed,
+            kernel::Now() + kForwardTimeout);
+  if (!response.ok()) {
+    co_return http::MakeFailureResponse(http::FailureOf(response.status()));
+  }
+  http::Response copy;
+  copy.m_head.m_status = response->m_head.m_status;
+  copy.m_body = response->m_body;
+  co_return copy;
+}
+
 asio::awaitable<void>
 DutyHolder::ServeCounts(http::Exchange& aExchange)
 {
@@ -402,13 +444,28 @@
   m_context.Metrics()
     .Get("usage.received_bytes")
     .Add(aExchange.ReceivedRequest().m_body.size());
-  http::Response response = co_await asio::co_spawn(
+  using Outcome = std::variant<http::Response, core::Endpoint>;
+  const bool isForwarded =
+    !http::FindHeader(aExchange.ReceivedRequest().m_headers, kForwardedHeader)
+       .empty();
+  Outcome outcome = co_await asio::co_spawn(
     m_context.Control().EventLoop(),
     [](std::shared_ptr<DutyHolder> aSelf,
-       CountMessage aMessage) -> asio::awaitable<http::Response> {
+       CountMessage aMessage,
+       bool aIsForwarded) -> asio::awaitable<Outcome> {
+      const auto holder =
+        aIsForwarded ? std::nullopt : aSelf->FindHolderOf(aMessage);
+      if (holder) {
+        co_return *holder;
+      }
       co_return aSelf->AcceptCounts(aMessage);
-    }(shared_from_this(), *message),
+    }(shared_from_this(), *message, isForwarded),
     asio::use_awaitable);
+  if (const auto* holder = std::get_if<core::Endpoint>(&outcome)) {
+    const core::Endpoint endpoint = *holder;
+    outcome = co_await Forward(aExchange, endpoint);
+  }
+  http::Response response = std::get<http::Response>(std::move(outcome));
   co_await aExchange.RespondIgnoringErrors(std::move(response));
 }
 
--- a/src/usage/internal/dutyholder.h
+++ b/src/usage/internal/dutyholder.h
@@ -51,6 +51,12 @@
   void ReadContent(WindowId aWindow);
   void HandleResponse(const SendReport& aReport, const ReportResponse& aAnswer);
   std::vector<std::string> ExpectedHosts() const;
+  /// Returns the holder, if the message is meant for it and not for this host.
+  std::optional<core::Endpoint> FindHolderOf(
+    const CountMessage& aMessage) const;
+  /// Passes counts on to the holder and returns its response.
+  boost::asio::awaitable<http::Response> Forward(http::Exchange& aExchange,
+                                                 core::Endpoint aHolder);
   /// Applies the message of another host and returns the response to it.
   http::Response AcceptCounts(const CountMessage& aMessage);
 
--- a/src/usage/internal/usagesettings.h
+++ b/src/usage/internal/usagesettings.h
@@ -9,6 +9,9 @@
 
 /// Path on which the holder receives the counts of other hosts.
 inline constexpr std::string_view kCountsPath = "/usage/counts";
+/// Marks counts that come by way of another host.
+inline constexpr std::string_view kForwardedHeader =
+  "X-Heatherdeal-Usage-Forwarded";
 /// Kind of the stored contents. Their names are the numbers of the windows.
 inline constexpr std::string_view kContentKind = "usage-reports";
 
