Keep the keys of customers out of errors and of what operators read

SettingsReader puts values into its errors, and the first error of a document is logged. A test with malformed customers found a key in the error in each of these cases: customers, keys or an entry of another type, a misspelled field beside or above the keys, and a key in the place of a name or a priority. GET /v1/configuration, which operators read, showed all keys.

ParseDocument now replaces the value by "(hidden)" in errors below customers, of unknown fields, of arrays and objects, and of the document itself. Errors of known fields elsewhere show their value as before. /v1/configuration shows the number of keys of each customer; hosts that read the document of a peer ask for the keys with ?keys=1. A document without its keys is not valid, so that a host of an earlier release does not put it into force; such hosts reject documents with customers anyway.

--- a/src/configuration/configurationmodule.cpp
+++ b/src/configuration/configurationmodule.cpp
@@ -13,9 +13,14 @@
 ReplyWithDocument(std::shared_ptr<ActiveConfiguration> aConfiguration,
                   http::Exchange& aExchange)
 {
+  // Other hosts need the keys of customers, and nobody else may see them.
+  const bool isForHost = http::QueryNumber(aExchange.ReceivedRequest().m_target,
+                                           kKeysParameter) == 1;
+  const auto document = aConfiguration->Read();
   http::Response response;
   response.m_head.m_headers.push_back({ "Content-Type", "application/json" });
-  response.m_body = ToJson(*aConfiguration->Read());
+  response.m_body =
+    isForHost ? ToJson(*document) : ToJsonWithoutKeys(*document);
   co_await aExchange.RespondIgnoringErrors(std::move(response));
 }
 
--- a/src/configuration/customer.h
+++ b/src/configuration/customer.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/failure.h"
@@ -21,6 +22,20 @@
   std::optional<uint32_t> m_priority;
 };
 
+/// Stands in errors in place of a value that may contain a key.
+inline constexpr std::string_view kHiddenValue = "(hidden)";
+
+/// What settings of this host demand of a document.
+struct DocumentRequirements
+{
+  bool m_needsCustomers = false;
+};
+
+/// Returns an error if the customers do not meet the requirements.
+std::vector<core::InvalidSetting>
+ValidateRequirements(std::span<const Customer> aCustomers,
+                     const DocumentRequirements& aRequirements);
+
 /// Returns every inconsistency among the customers. The errors do not contain
 /// keys.
 std::vector<core::InvalidSetting>
--- a/src/configuration/decisions/customer.cpp
+++ b/src/configuration/decisions/customer.cpp
@@ -10,8 +10,6 @@
 
 using Errors = std::vector<core::InvalidSetting>;
 
-constexpr std::string_view kHiddenValue = "(hidden)";
-
 std::string
 CustomerPath(size_t aIndex)
 {
@@ -69,6 +67,16 @@
 
 } // namespace
 
+std::vector<core::InvalidSetting>
+ValidateRequirements(std::span<const Customer> aCustomers,
+                     const DocumentRequirements& aRequirements)
+{
+  if (aRequirements.m_needsCustomers && aCustomers.empty()) {
+    return { { "$.customers", "[]", "at least one customer" } };
+  }
+  return {};
+}
+
 std::vector<core::InvalidSetting>
 ValidateCustomers(std::span<const Customer> aCustomers)
 {
--- a/src/configuration/documentjson.h
+++ b/src/configuration/documentjson.h
@@ -23,6 +23,11 @@
 std::string
 ToJson(const Document& aDocument);
 
+/// Returns the document as JSON for people: the number of a customer's keys
+/// stands in their place, so that the text is not a valid document.
+std::string
+ToJsonWithoutKeys(const Document& aDocument);
+
 /// Returns the generation and the content hash of a document.
 DocumentIdentity
 IdentifyDocument(const Document& aDocument);
--- a/src/configuration/internal/customerjson.cpp
+++ b/src/configuration/internal/customerjson.cpp
@@ -15,17 +15,7 @@
 {
   Customer customer;
   customer.m_name.m_value = aReader.TextOr("name", "");
-  // SettingsReader::OptionalTexts would put an element of another type into
-  // the error text.
-  aReader.ForEach(
-    "keys", [&](const boost::json::value& aValue, std::string_view aPath) {
-      if (!aValue.is_string()) {
-        aReader.Errors().m_errors.push_back(
-          { std::string(aPath), "(hidden)", "a string" });
-        return;
-      }
-      customer.m_keys.emplace_back(aValue.get_string());
-    });
+  customer.m_keys = aReader.OptionalTexts("keys");
   if (aReader.OptionalValue("priority") != nullptr) {
     customer.m_priority =
       static_cast<uint32_t>(aReader.Integer("priority", kPriorityRange));
--- a/src/configuration/internal/documentjson.cpp
+++ b/src/configuration/internal/documentjson.cpp
@@ -4,6 +4,7 @@
 #include "xxhash.h"
 
 #include "configuration/internal/customerjson.h"
+#include "configuration/internal/hiddenvalues.h"
 #include "configuration/internal/jobjson.h"
 #include "configuration/internal/routejson.h"
 #include "configuration/internal/scalingjson.h"
@@ -193,14 +194,17 @@
     parsed.m_document = ReadDocumentFields(reader);
   }
   parsed.m_errors = std::move(errors.m_errors);
+  HideSecretValues(parsed.m_errors);
   if (parsed.m_errors.empty()) {
     parsed.m_errors = Validate(parsed.m_document);
   }
   return parsed;
 }
 
-std::string
-ToJson(const Document& aDocument)
+namespace {
+
+boost::json::object
+ToObject(const Document& aDocument)
 {
   boost::json::array services;
   for (const Service& service : aDocument.m_services) {
@@ -226,6 +230,27 @@
     }
     object["customers"] = std::move(customers);
   }
+  return object;
+}
+
+} // namespace
+
+std::string
+ToJson(const Document& aDocument)
+{
+  return boost::json::serialize(ToObject(aDocument));
+}
+
+std::string
+ToJsonWithoutKeys(const Document& aDocument)
+{
+  boost::json::object object = ToObject(aDocument);
+  if (boost::json::value* customers = object.if_contains("customers")) {
+    for (boost::json::value& customer : customers->as_array()) {
+      boost::json::value& keys = customer.as_object()["keys"];
+      keys = keys.as_array().size();
+    }
+  }
   return boost::json::serialize(object);
 }
 
--- a/src/gossip/internal/gossip.cpp
+++ b/src/gossip/internal/gossip.cpp
@@ -4,6 +4,7 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 
+#include "configuration/configurationmodule.h"
 #include "core/rendezvous.h"
 #include "gossip/internal/digestcodec.h"
 #include "http/client.h"
@@ -34,7 +35,7 @@
               std::function<void()> aOnDone)
 {
   http::Request request;
-  request.m_target = "/v1/configuration";
+  request.m_target = configuration::kDocumentForHostsTarget;
   http::Client& client =
     aContext.Get<http::Clients>()->ForLoop(kFetchLoopIndex);
   const absl::StatusOr<http::Response> response =
--- a/src/kernel/internal/settingsreader.cpp
+++ b/src/kernel/internal/settingsreader.cpp
@@ -4,6 +4,8 @@
 
 #include "boost/json/serialize.hpp"
 
+#include "kernel/unknownfield.h"
+
 namespace heatherdeal::kernel {
 
 namespace {
@@ -51,7 +53,7 @@
   for (const auto& field : *m_object) {
     const std::string_view name(field.key().data(), field.key().size());
     if (!m_requestedFields.contains(name)) {
-      AddError(name, field.value(), "no field of this name");
+      AddError(name, field.value(), kNoSuchField);
     }
   }
 }
