Decide on keys only while the configuration is known to be the newest

A host that was cut off denied keys that had been added meanwhile for good, and accepted revoked keys for as long as it was cut off. It also denied all keys, or ran requests of a public route with the caller's headers, between the publication of its first document and that of the keys in it (found by a test).

KindWatch now records when it certainly had the newest state: an answer of the store confirms the time of its request, or the end of the wait if a long poll ends without changes; an answer of a relay confirms what the relay says in X-Heatherdeal-Confirmed-Ms. ObjectStore::FindConfirmedTime exports that time. Beyond 4 s an unknown key is answered 503 instead of 401, and with strict_revocation all keys are beyond revocation_ms. Before the first configuration nothing is decided. A pending long poll confirms nothing, so that deployments with customers poll the kind configuration with a wait of 1 s (confirm_kinds, confirm_time_ms). The required setting makes ActiveConfiguration reject documents without customers.

--- a/src/configuration/activeconfiguration.h
+++ b/src/configuration/activeconfiguration.h
@@ -22,6 +22,13 @@
   /// thread.
   std::shared_ptr<const Document> Read() const { return m_document.Read(); }
 
+  /// Sets what later documents must have to be put into force. Control thread
+  /// only.
+  void Require(const DocumentRequirements& aRequirements)
+  {
+    m_requirements = aRequirements;
+  }
+
   /// Puts the document in aText into force if it is valid and has a higher
   /// generation. Control thread only.
   void ApplyIfNewer(std::string_view aText);
@@ -32,6 +39,7 @@
 
 private:
   kernel::Counters& m_counters;
+  DocumentRequirements m_requirements;
   kernel::Published<Document> m_document;
   DocumentIdentity m_currentIdentity;
   std::vector<Listener> m_listeners;
--- a/src/configuration/internal/activeconfiguration.cpp
+++ b/src/configuration/internal/activeconfiguration.cpp
@@ -14,6 +14,10 @@
 ActiveConfiguration::ApplyIfNewer(std::string_view aText)
 {
   ParsedDocument parsed = ParseDocument(aText);
+  if (parsed.m_errors.empty()) {
+    parsed.m_errors =
+      ValidateRequirements(parsed.m_document.m_customers, m_requirements);
+  }
   if (!parsed.m_errors.empty()) {
     m_counters.Get("configuration.invalid").Add();
     kernel::LogFailure(
--- a/src/customers/access.h
+++ b/src/customers/access.h
@@ -33,6 +33,8 @@
 /// What the decision about a request is based on.
 struct AccessFacts
 {
+  /// False until a configuration is in force.
+  bool m_isConfigured = true;
   bool m_needsKey = false;
   /// The customer that has the key of the request, by the configuration in
   /// force.
--- a/src/customers/authenticator.h
+++ b/src/customers/authenticator.h
@@ -12,6 +12,7 @@
 #include "customers/keyindex.h"
 #include "http/message.h"
 #include "kernel/published.h"
+#include "objectstore/confirmedtime.h"
 
 namespace heatherdeal::customers {
 
@@ -20,6 +21,10 @@
 {
   /// True if requests need keys even if the configuration has no customers.
   bool m_required = false;
+  /// True if keys count only while this host knows that its configuration is
+  /// not older than m_revocationTime.
+  bool m_strictRevocation = false;
+  core::Duration m_revocationTime = std::chrono::seconds(5);
 };
 
 /// Returns the token of the only Authorization header with the Bearer scheme;
@@ -35,7 +40,10 @@
 class Authenticator
 {
 public:
+  /// aConfirmed tells when the configuration was last known to be the newest;
+  /// null if it cannot get out of date.
   Authenticator(std::shared_ptr<configuration::ActiveConfiguration> aActive,
+                std::shared_ptr<const objectstore::ConfirmedTime> aConfirmed,
                 const CustomerSettings& aSettings);
 
   /// Starts to follow the configuration. Control thread only.
@@ -52,6 +60,7 @@
   /// The customers of the configuration in force.
   struct Snapshot
   {
+    bool m_isInForce = false;
     bool m_hasCustomers = false;
     KeyIndex m_keys;
   };
@@ -59,6 +68,7 @@
   void SetCustomers(std::span<const configuration::Customer> aCustomers);
 
   std::shared_ptr<configuration::ActiveConfiguration> m_configuration;
+  std::shared_ptr<const objectstore::ConfirmedTime> m_confirmed;
   CustomerSettings m_settings;
   KeyDigester m_digester;
   kernel::Published<Snapshot> m_snapshot;
--- a/src/customers/decisions/access.cpp
+++ b/src/customers/decisions/access.cpp
@@ -5,6 +5,11 @@
 Access
 DecideAccess(const AccessFacts& aFacts, core::Instant aNow)
 {
+  // Requests do not run, and are not denied for good, before it is known which
+  // customers there are.
+  if (!aFacts.m_isConfigured) {
+    return AccessUndecided{};
+  }
   if (!aFacts.m_needsKey) {
     return AnonymousAccess{};
   }
--- a/src/customers/internal/authenticator.cpp
+++ b/src/customers/internal/authenticator.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::string_view kAuthorizationHeader = "Authorization";
 constexpr std::string_view kBearerPrefix = "Bearer ";
+// A host in touch with the store has had a path to it for the last 4 s. A key
+// that became valid earlier is known to such a host, but maybe not to others.
+constexpr core::Duration kUnknownKeyTime = std::chrono::seconds(4);
 
 bool
 IsAuthorization(const http::Header& aHeader)
@@ -47,8 +50,10 @@
 
 Authenticator::Authenticator(
   std::shared_ptr<configuration::ActiveConfiguration> aActive,
+  std::shared_ptr<const objectstore::ConfirmedTime> aConfirmed,
   const CustomerSettings& aSettings)
   : m_configuration(std::move(aActive))
+  , m_confirmed(std::move(aConfirmed))
   , m_settings(aSettings)
 {
 }
@@ -56,6 +61,7 @@
 void
 Authenticator::Start()
 {
+  m_configuration->Require({ .m_needsCustomers = m_settings.m_required });
   m_configuration->Subscribe([this](const configuration::Document& aDocument) {
     SetCustomers(aDocument.m_customers);
   });
@@ -65,6 +71,7 @@
 Authenticator::SetCustomers(std::span<const configuration::Customer> aCustomers)
 {
   Snapshot snapshot;
+  snapshot.m_isInForce = true;
   snapshot.m_hasCustomers = !aCustomers.empty();
   for (const configuration::Customer& customer : aCustomers) {
     for (const std::string& key : customer.m_keys) {
@@ -84,18 +91,27 @@
 Authenticator::Authenticate(std::span<const http::Header> aHeaders,
                             bool aIsPublic) const
 {
+  const auto snapshot = m_snapshot.Read();
   AccessFacts facts;
-  facts.m_needsKey = AreKeysNeeded() && !aIsPublic;
+  facts.m_isConfigured = snapshot->m_isInForce;
+  facts.m_needsKey =
+    (m_settings.m_required || snapshot->m_hasCustomers) && !aIsPublic;
   const std::optional<std::string_view> token =
     facts.m_needsKey ? FindBearerToken(aHeaders) : std::nullopt;
   if (token) {
-    const auto snapshot = m_snapshot.Read();
     const core::CustomerId* customer =
       snapshot->m_keys.Find(m_digester.Digest(*token));
     if (customer != nullptr) {
       facts.m_customer = *customer;
     }
   }
+  if (m_confirmed) {
+    const core::Instant confirmedAt = m_confirmed->Read();
+    facts.m_unknownKeysUntil = confirmedAt + kUnknownKeyTime;
+    if (m_settings.m_strictRevocation) {
+      facts.m_keysValidUntil = confirmedAt + m_settings.m_revocationTime;
+    }
+  }
   return DecideAccess(facts, kernel::Now());
 }
 
--- a/src/objectstore/internal/builtincodec.cpp
+++ b/src/objectstore/internal/builtincodec.cpp
@@ -1,5 +1,6 @@
 #include "objectstore/objectcodec.h"
 
+#include "absl/strings/numbers.h"
 #include "boost/json/serialize.hpp"
 
 #include "core/failure.h"
@@ -17,6 +18,8 @@
 constexpr uint32_t kGone = 410;
 constexpr uint32_t kTooManyRequests = 429;
 constexpr int64_t kMaxVersion = INT64_MAX;
+// Hosts of earlier releases ignore a header, but reject a field.
+constexpr std::string_view kConfirmedHeader = "X-Heatherdeal-Confirmed-Ms";
 constexpr std::string_view kHostKinds[] = { "hosts" };
 
 std::string
@@ -148,6 +151,19 @@
   return request;
 }
 
+std::optional<core::Duration>
+ParseConfirmation(const http::Response& aResponse)
+{
+  const std::string_view text =
+    http::FindHeader(aResponse.m_head.m_headers, kConfirmedHeader);
+  int32_t milliseconds = 0;
+  if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()),
+                        &milliseconds)) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
 absl::StatusOr<ObjectList>
 DecodeList(const ListRequest& aList,
            const http::Response& aResponse,
@@ -159,7 +175,7 @@
   if (aResponse.m_head.m_status != kOk) {
     return StatusFromResponse(aResponse, aPeer);
   }
-  return kernel::ParseMessage<ObjectList>(
+  absl::StatusOr<ObjectList> list = kernel::ParseMessage<ObjectList>(
     aResponse.m_body, "list", [&](kernel::SettingsReader& aReader) {
       ObjectList list;
       list.m_revision =
@@ -172,6 +188,14 @@
         });
       return list;
     });
+  if (!list.ok()) {
+    // The error of the parser names values, and objects of the store may
+    // contain secrets, such as API keys of customers.
+    return core::ToStatus(core::InvalidInput{
+      "list of " + aList.m_kind, "a list of the built-in object API" });
+  }
+  list->m_confirmedAfterArrival = ParseConfirmation(aResponse);
+  return list;
 }
 
 const ObjectCodec kBuiltInCodec{
@@ -209,6 +233,16 @@
   return boost::json::serialize(body);
 }
 
+void
+AddConfirmation(http::Response& aResponse, core::Duration aAfterArrival)
+{
+  // Rounded down, so that the state does not seem newer than it is.
+  const auto milliseconds =
+    std::chrono::floor<std::chrono::milliseconds>(aAfterArrival);
+  aResponse.m_head.m_headers.push_back(
+    { std::string(kConfirmedHeader), std::to_string(milliseconds.count()) });
+}
+
 StoredObject
 MakeMissingObject(const ObjectKey& aKey)
 {
--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -45,6 +45,28 @@
 constexpr core::Duration kLongPollRestartInterval = std::chrono::seconds(1);
 constexpr uint32_t kUnavailable = 503;
 
+/// Returns when the source certainly had the newest state, which it sent in the
+/// list. The store answers a long poll without changes after the whole wait;
+/// any other answer may have been composed as early as the request was sent,
+/// and may have been delayed on its way.
+std::optional<core::Instant>
+FindConfirmedTime(const WatchSource& aSource,
+                  const ListRequest& aRequest,
+                  const ObjectList& aList,
+                  bool aIsUnchanged,
+                  core::Instant aSentAt)
+{
+  if (std::holds_alternative<RelaySource>(aSource)) {
+    // The request arrived at the relay later than it was sent.
+    return aList.m_confirmedAfterArrival
+             ? std::optional(aSentAt + *aList.m_confirmedAfterArrival)
+             : std::nullopt;
+  }
+  const core::Instant endOfWait = aSentAt + aRequest.m_maxWait;
+  const bool hasWaited = aIsUnchanged && kernel::Now() >= endOfWait;
+  return hasWaited ? endOfWait : aSentAt;
+}
+
 /// True if a relay responded that it cannot reach the store.
 bool
 IsStoreUnavailableAtRelay(const absl::Status& aStatus)
@@ -234,6 +256,7 @@
     const bool isRelist = m_relistPending && m_revision.has_value();
     m_isLongPolling =
       relay == nullptr && request.m_maxWait > core::Duration::zero();
+    const core::Instant sentAt = kernel::Now();
     absl::StatusOr<ObjectList> list = co_await RequestList(source, request);
     m_isLongPolling = false;
     const bool wasAborted = m_callAbort->IsAbortRequested();
@@ -278,7 +301,10 @@
     }
     DropExpiredObjects();
     m_backoff.m_consecutiveFailures = 0;
+    const std::optional<core::Instant> confirmedAt =
+      FindConfirmedTime(source, request, *list, isUnchanged, sentAt);
     if (isUnchanged) {
+      Confirm(confirmedAt);
       continue;
     }
     const Objects before = isRelist ? m_objects : Objects{};
@@ -291,6 +317,7 @@
       ReportMissedChanges(before);
     }
     NotifyChanged();
+    Confirm(confirmedAt);
     const bool wasRejected =
       isAfterOutage && relay == nullptr && m_transport->IsDirectSuspended();
     if (wasRejected) {
@@ -466,6 +493,18 @@
   PublishSnapshot();
 }
 
+void
+KindWatch::Confirm(std::optional<core::Instant> aConfirmedAt)
+{
+  if (!aConfirmedAt) {
+    return;
+  }
+  // Tasks of the control thread run in the order in which they were posted, so
+  // that the changes up to this time have been applied.
+  m_context.Control().Post(
+    [confirmed = m_confirmed, at = *aConfirmedAt] { confirmed->Advance(at); });
+}
+
 void
 KindWatch::ReportMissedChanges(const Objects& aBefore)
 {
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -89,6 +89,8 @@
   /// Returns the snapshot for other hosts, or null while it may be out of date.
   /// Any thread.
   std::shared_ptr<const KindSnapshot> Snapshot() const;
+  /// Returns when the watch last had the newest state. Any thread.
+  std::shared_ptr<const ConfirmedTime> Confirmed() const { return m_confirmed; }
   /// Cancels aTimer once, at the next change of the snapshot. Any thread.
   void CancelTimerOnChange(std::shared_ptr<boost::asio::steady_timer> aTimer);
 
@@ -127,6 +129,9 @@
   void DropExpiredObjects();
   /// Passes all objects to the change callback and updates the snapshot.
   void NotifyChanged();
+  /// Records that the watch had the newest state at the time, after its change
+  /// callback has received it.
+  void Confirm(std::optional<core::Instant> aConfirmedAt);
   /// Reports the changes that a relist found compared with aBefore.
   void ReportMissedChanges(const Objects& aBefore);
   /// Updates the outage state, logs and metrics after a call.
@@ -163,6 +168,9 @@
   bool m_isLongPolling = false;
   /// The earliest time at which a long poll is sent again.
   core::Instant m_nextRestartAt{};
+  /// Advanced on the control thread.
+  std::shared_ptr<ConfirmedTime> m_confirmed =
+    std::make_shared<ConfirmedTime>();
   kernel::Published<std::vector<core::Endpoint>> m_relays;
   /// The relays that failed, with the earliest time of the next attempt.
   std::map<core::Endpoint, core::Instant> m_failedRelayRetryAt;
--- a/src/objectstore/internal/objectstore.cpp
+++ b/src/objectstore/internal/objectstore.cpp
@@ -244,11 +244,18 @@
                         core::Duration aExpiryGrace,
                         WatchCallback aOnChanged)
 {
+  const bool isConfirmed =
+    std::ranges::find(m_settings.m_confirmedKinds, aKind) !=
+    m_settings.m_confirmedKinds.end();
+  const core::Duration longPollWait =
+    isConfirmed
+      ? std::min(m_settings.m_confirmationWait, m_settings.m_longPollWait)
+      : m_settings.m_longPollWait;
   WatchOptions options{ std::move(aKind),
                         m_settings.m_endpoints,
                         m_settings.m_backoff,
                         m_settings.m_callTimeout,
-                        m_settings.m_longPollWait,
+                        longPollWait,
                         aExpiryGrace,
                         m_settings.m_bootstrapRelays,
                         kernel::Now() + m_settings.m_bootstrapTime,
@@ -323,9 +330,17 @@
   return found == m_watches.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<const ConfirmedTime>
+ObjectStore::FindConfirmedTime(std::string_view aKind) const
+{
+  const auto watch = FindWatch(aKind);
+  return watch ? watch->Confirmed() : nullptr;
+}
+
 asio::awaitable<void>
 ObjectStore::ServeRelayedWatch(http::Exchange& aExchange)
 {
+  const core::Instant arrivedAt = kernel::Now();
   const std::string& target = aExchange.ReceivedRequest().m_target;
   const std::string_view kind = http::PathOf(target).substr(kWatchPath.size());
   const uint64_t knownRevision = http::QueryNumber(target, "after").value_or(0);
@@ -343,11 +358,14 @@
   timer->expires_after(std::chrono::milliseconds(
     std::min(waitMilliseconds, kMaxLongPollMilliseconds)));
   watch->CancelTimerOnChange(timer);
+  // Read before the snapshot, which must not be older than this time.
+  core::Instant confirmedAt = watch->Confirmed()->Read();
   std::shared_ptr<const KindSnapshot> snapshot = watch->Snapshot();
   if (snapshot && snapshot->m_revision <= knownRevision) {
     boost::system::error_code ignoredError;
     co_await timer->async_wait(
       asio::redirect_error(asio::use_awaitable, ignoredError));
+    confirmedAt = watch->Confirmed()->Read();
     snapshot = watch->Snapshot();
   }
   http::Response response =
@@ -358,6 +376,9 @@
     response.m_body = snapshot->m_revision > knownRevision
                         ? snapshot->m_encodedList
                         : EncodeBuiltInList(snapshot->m_revision, {});
+    if (confirmedAt != core::Instant::min()) {
+      AddConfirmation(response, confirmedAt - arrivedAt);
+    }
   }
   co_await aExchange.RespondIgnoringErrors(std::move(response));
 }
--- a/src/objectstore/objectcodec.h
+++ b/src/objectstore/objectcodec.h
@@ -50,6 +50,9 @@
   bool m_isFullList = true;
   /// True if further pages of the list follow.
   bool m_isTruncated = false;
+  /// When the sender last had the newest state, counted from the arrival of
+  /// the request, so mostly negative. Without a value, the sender does not say.
+  std::optional<core::Duration> m_confirmedAfterArrival;
 };
 
 /// Encodes the requests and decodes the responses of one object API.
@@ -89,6 +92,11 @@
 std::string
 EncodeBuiltInList(uint64_t aRevision, std::span<const StoredObject> aObjects);
 
+/// Adds ObjectList::m_confirmedAfterArrival to the response to a list request
+/// of the built-in object API.
+void
+AddConfirmation(http::Response& aResponse, core::Duration aAfterArrival);
+
 // Helpers shared by the encodings.
 
 /// Returns the result of reading an object that does not exist.
--- a/src/objectstore/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -16,6 +16,7 @@
 #include "kernel/context.h"
 #include "objectstore/backoff.h"
 #include "objectstore/callbudget.h"
+#include "objectstore/confirmedtime.h"
 #include "objectstore/object.h"
 
 namespace heatherdeal::objectstore {
@@ -33,6 +34,10 @@
   core::Duration m_callTimeout = std::chrono::seconds(2);
   /// Maximum duration of one long poll of a watch.
   core::Duration m_longPollWait = std::chrono::seconds(20);
+  /// Kinds of which this host confirms in shorter intervals that it has the
+  /// newest state, and the maximum duration of their long polls.
+  std::vector<std::string> m_confirmedKinds;
+  core::Duration m_confirmationWait = std::chrono::seconds(1);
   /// True if this host serves its watched kinds to other hosts.
   bool m_servesRelay = false;
   /// False if no upstream rejects orders with an outdated fencing token.
@@ -99,6 +104,12 @@
   /// retained for a grace period.
   void WatchWithExpiryGrace(std::string aKind, WatchCallback aOnChanged);
 
+  /// Returns when this host last had the newest state of a watched kind; null
+  /// if the kind is not watched. The time advances only after the callback of
+  /// the watch has received that state.
+  std::shared_ptr<const ConfirmedTime> FindConfirmedTime(
+    std::string_view aKind) const;
+
   /// Sets the hosts that serve their watched kinds to this one, in order of
   /// preference. Watches poll them instead of the store while one responds.
   void SetWatchRelays(std::span<const core::Endpoint> aRelays);
--- a/src/objectstore/objectstoremodule.cpp
+++ b/src/objectstore/objectstoremodule.cpp
@@ -79,6 +79,9 @@
     "backoff_max_ms", range, settings.m_backoff.m_maxDelay);
   settings.m_bootstrapTime = aReader.MillisecondsOr(
     "bootstrap_time_ms", range, settings.m_bootstrapTime);
+  settings.m_confirmedKinds = aReader.OptionalTexts("confirm_kinds");
+  settings.m_confirmationWait = aReader.MillisecondsOr(
+    "confirm_time_ms", range, settings.m_confirmationWait);
   settings.m_servesRelay = aReader.FlagOr("serves_relay", false);
   settings.m_upstreamsCheckFencingTokens =
     aReader.FlagOr("upstreams_check_fences", true);
--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -632,4 +632,160 @@
   }
 }
 
+namespace {
+
+constexpr std::string_view kConfirmedHeader = "X-Heatherdeal-Confirmed-Ms";
+
+ObjectStoreSettings
+SettingsWithConfirmation(const core::Endpoint& aStoreEndpoint)
+{
+  ObjectStoreSettings settings;
+  settings.m_endpoints = { aStoreEndpoint };
+  settings.m_callTimeout = milliseconds(500);
+  settings.m_longPollWait = seconds(5);
+  settings.m_confirmedKinds = { "kind" };
+  settings.m_confirmationWait = milliseconds(200);
+  settings.m_backoff.m_maxDelay = milliseconds(100);
+  settings.m_budget = { 1000.0, 1000.0 };
+  return settings;
+}
+
+/// A host that watches the kind "kind".
+struct Watcher
+{
+  http::Loopback m_loopback{ http::AnyPort() };
+  std::shared_ptr<ObjectStore> m_store;
+
+  explicit Watcher(const core::Endpoint& aStoreEndpoint,
+                   std::vector<core::Endpoint> aRelays = {})
+  {
+    m_store = std::make_shared<ObjectStore>(
+      m_loopback.Kernel(), SettingsWithConfirmation(aStoreEndpoint));
+    m_loopback.Http().AddRoute(
+      { "GET", "/watch/", [this](http::Exchange& aExchange) {
+         return m_store->ServeRelayedWatch(aExchange);
+       } });
+    m_loopback.Listen();
+    std::promise<void> started;
+    m_loopback.Kernel().Control().Post([&] {
+      m_store->Watch("kind", [](std::span<const StoredObject>) {});
+      m_store->SetWatchRelays(aRelays);
+      started.set_value();
+    });
+    started.get_future().get();
+  }
+
+  core::Instant Confirmed() const
+  {
+    return m_store->FindConfirmedTime("kind")->Read();
+  }
+
+  /// Waits until a state that is not older than the instant is confirmed.
+  /// Returns false if that takes too long.
+  bool WaitForConfirmation(core::Instant aSince) const
+  {
+    const core::Instant limit = kernel::Now() + seconds(10);
+    while (Confirmed() < aSince && kernel::Now() < limit) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    return Confirmed() >= aSince;
+  }
+};
+
+} // namespace
+
+// Guards against a host that counts its state as the newest while it cannot
+// know of changes, and against one that never counts it as such.
+TEST_CASE("a state is confirmed as long as the store answers")
+{
+  StoreFixture store;
+  REQUIRE(store.Write(0, "a").ok());
+  const Watcher watcher(store.m_loopback.Self());
+  CHECK(watcher.WaitForConfirmation(kernel::Now()));
+  CHECK(watcher.WaitForConfirmation(kernel::Now()));
+  CHECK(watcher.Confirmed() <= kernel::Now());
+  CHECK(watcher.m_store->FindConfirmedTime("other") == nullptr);
+  SECTION("the store is down")
+  {
+    store.m_api->SetFaults({ .m_down = true });
+  }
+  SECTION("the store does not answer")
+  {
+    store.m_api->SetFaults({ .m_delay = seconds(5) });
+  }
+  const core::Instant failedAt = kernel::Now();
+  std::this_thread::sleep_for(milliseconds(600));
+  CHECK(watcher.Confirmed() <= failedAt + milliseconds(200));
+  store.m_api->SetFaults({});
+  CHECK(watcher.WaitForConfirmation(failedAt + milliseconds(600)));
+}
+
+// Guards against an answer that was delayed on its way and counts as new.
+TEST_CASE("an answer that arrives late confirms the state at its request")
+{
+  StoreFixture store;
+  store.m_api->SetFaults({ .m_delay = milliseconds(300) });
+  const core::Instant before = kernel::Now();
+  const Watcher watcher(store.m_loopback.Self());
+  CHECK(watcher.WaitForConfirmation(before));
+  CHECK(watcher.Confirmed() <= kernel::Now() - milliseconds(300));
+}
+
+// Guards against a host that trusts a relay which has lost the store.
+TEST_CASE("a state from a relay is as old as that of the relay")
+{
+  StoreFixture store;
+  REQUIRE(store.Write(0, "a").ok());
+  const Watcher relay(store.m_loopback.Self());
+  REQUIRE(relay.WaitForConfirmation(kernel::Now()));
+  const Watcher follower(store.m_loopback.Self(), { relay.m_loopback.Self() });
+  CHECK(follower.WaitForConfirmation(kernel::Now()));
+  CHECK(follower.WaitForConfirmation(kernel::Now()));
+  store.m_api->SetFaults({ .m_delay = seconds(8) });
+  const core::Instant failedAt = kernel::Now();
+  std::this_thread::sleep_for(milliseconds(1200));
+  // The long poll of the relay is still under way.
+  CHECK(follower.Confirmed() <= failedAt + milliseconds(200));
+  CHECK(follower.Confirmed() <= relay.Confirmed());
+}
+
+// Guards against a state that is taken for the newest because a relay of an
+// earlier release, which does not say so, has sent it.
+TEST_CASE("an answer of a relay that does not tell its age confirms nothing")
+{
+  const bool tellsAge = GENERATE(false, true);
+  http::Response response = ListResponse(5, "a");
+  if (tellsAge) {
+    response.m_head.m_headers.push_back(
+      { std::string(kConfirmedHeader), "-250" });
+  }
+  const ScriptedStore relay({ response });
+  http::Loopback loopback(http::AnyPort());
+  loopback.Listen();
+  ObjectStoreSettings settings = SettingsWithConfirmation(ClosedPort());
+  settings.m_bootstrapRelays = { relay.m_loopback.Self() };
+  settings.m_bootstrapTime = seconds(5);
+  const auto client =
+    std::make_shared<ObjectStore>(loopback.Kernel(), settings);
+  const auto isListed = std::make_shared<std::atomic<bool>>(false);
+  loopback.Kernel().Control().Post([client, isListed] {
+    client->Watch("kind", [isListed](std::span<const StoredObject>) {
+      isListed->store(true);
+    });
+  });
+  const core::Instant limit = kernel::Now() + seconds(10);
+  while (!isListed->load() && kernel::Now() < limit) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  REQUIRE(isListed->load());
+  std::this_thread::sleep_for(milliseconds(200));
+  const core::Instant confirmed = client->FindConfirmedTime("kind")->Read();
+  if (tellsAge) {
+    CHECK(confirmed <= kernel::Now() - milliseconds(250));
+    CHECK(confirmed >= kernel::Now() - seconds(5));
+  } else {
+    CHECK(confirmed == core::Instant::min());
+  }
+}
+
 } // namespace heatherdeal::objectstore
