--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -206,6 +206,13 @@
   using Location =
     std::variant<OwnedElsewhere, NoSuchBatch, TemporarilyUnavailable>;
 
+  /// A submission that is being stored.
+  struct PendingSubmission
+  {
+    core::CustomerId m_customer;
+    std::vector<SubmitCallback> m_callbacks;
+  };
+
   // Placements; implemented in internal/placement.cpp.
   /// Applies the placements that a watch of the object store delivered.
   void ApplyPlacements(std::span<const objectstore::StoredObject> aObjects);
@@ -292,6 +299,12 @@
   /// Reports the outcome to every caller that submitted this batch.
   void CompleteSubmission(const BatchId& aBatch, const SubmitOutcome& aOutcome);
   void StoreItems(std::shared_ptr<const Submission> aSubmission);
+  /// Continues with a submission whose items are stored already, unless they
+  /// are of another customer.
+  void CheckStoredItems(std::shared_ptr<const Submission> aSubmission);
+  /// Completes a submission whose placement is stored already.
+  void AnswerFromStoredPlacement(
+    const std::shared_ptr<const Submission>& aSubmission);
   /// Writes the first placement of a batch; retries until aDeadline while the
   /// outcome of the write is unknown.
   void CreatePlacement(std::shared_ptr<const Submission> aSubmission,
@@ -371,6 +384,8 @@
   /// null.
   OwnedPtr FindOwned(const BatchReference& aBatch) const;
   bool IsEnded(std::string_view aBatch) const;
+  /// True if the configuration in force has customers.
+  bool HasCustomers() const;
 
   kernel::Context& m_context;
   BatchesSettings m_settings;
@@ -382,9 +397,8 @@
   std::map<std::string, OwnedPtr, std::less<>> m_owned;
   /// The earliest time of the next takeover attempt, by batch.
   std::map<std::string, core::Instant, std::less<>> m_nextTakeoverAt;
-  /// Callers that wait for the outcome of a submission, by batch.
-  std::map<std::string, std::vector<SubmitCallback>, std::less<>>
-    m_pendingSubmissions;
+  /// Submissions whose outcome callers wait for, by batch.
+  std::map<std::string, PendingSubmission, std::less<>> m_pendingSubmissions;
   /// Batches whose placement an attempt of unknown outcome may still create,
   /// and until when that is remembered.
   std::map<std::string, core::Instant, std::less<>> m_unconfirmedCreations;
--- a/src/batches/internal/accepting.cpp
+++ b/src/batches/internal/accepting.cpp
@@ -46,9 +46,16 @@
                         core::Draining{ m_context.Self().m_host }));
     return;
   }
-  std::vector<SubmitCallback>& callbacks = m_pendingSubmissions[id];
-  callbacks.push_back(std::move(aDone));
-  if (callbacks.size() > 1) {
+  PendingSubmission& pending = m_pendingSubmissions[id];
+  if (pending.m_callbacks.empty()) {
+    pending.m_customer = aSubmission.m_customer;
+  } else if (pending.m_customer != aSubmission.m_customer) {
+    // Whether the batch will exist is not known yet.
+    aDone(NotAccepted{ core::Overload{ "submissions of one batch" } });
+    return;
+  }
+  pending.m_callbacks.push_back(std::move(aDone));
+  if (pending.m_callbacks.size() > 1) {
     return;
   }
   StoreItems(std::make_shared<const Submission>(std::move(aSubmission)));
@@ -62,7 +69,8 @@
   if (found == m_pendingSubmissions.end()) {
     return;
   }
-  const std::vector<SubmitCallback> callbacks = std::move(found->second);
+  const std::vector<SubmitCallback> callbacks =
+    std::move(found->second.m_callbacks);
   m_pendingSubmissions.erase(found);
   const auto* notAccepted = std::get_if<NotAccepted>(&aOutcome);
   kernel::LogEvent(
@@ -90,7 +98,12 @@
                   aSubmission](const absl::StatusOr<uint64_t>& aVersion) {
                    // Stored items alone do not make a batch; it exists once its
                    // placement is stored.
-                   if (aVersion.ok() || absl::IsAborted(aVersion.status())) {
+                   const bool isStored = absl::IsAborted(aVersion.status());
+                   if (isStored && self->HasCustomers()) {
+                     self->CheckStoredItems(aSubmission);
+                     return;
+                   }
+                   if (aVersion.ok() || isStored) {
                      self->CreatePlacement(
                        aSubmission, kernel::Now() + kPlacementWriteTimeout);
                      return;
@@ -102,6 +115,66 @@
                  });
 }
 
+void
+Batches::CheckStoredItems(std::shared_ptr<const Submission> aSubmission)
+{
+  m_store->Read({ std::string(kItemsKind), aSubmission->m_id.m_value },
+                objectstore::CallPriority::Lease,
+                [self = shared_from_this(), aSubmission](
+                  const absl::StatusOr<objectstore::StoredObject>& aObject) {
+                  if (!aObject.ok()) {
+                    self->CompleteSubmission(
+                      aSubmission->m_id,
+                      self->MakeRejection(aSubmission->m_id,
+                                          http::FailureOf(aObject.status())));
+                    return;
+                  }
+                  // The next owner of the batch would load these items, so that
+                  // they must not be another customer's.
+                  const absl::StatusOr<Submission> stored =
+                    ParseSubmission(aObject->m_value);
+                  const bool isOfOtherCustomer =
+                    stored.ok() &&
+                    stored->m_customer != aSubmission->m_customer;
+                  if (isOfOtherCustomer) {
+                    self->CompleteSubmission(aSubmission->m_id, NoSuchBatch{});
+                    return;
+                  }
+                  self->CreatePlacement(aSubmission,
+                                        kernel::Now() + kPlacementWriteTimeout);
+                });
+}
+
+void
+Batches::AnswerFromStoredPlacement(
+  const std::shared_ptr<const Submission>& aSubmission)
+{
+  if (!HasCustomers()) {
+    FetchPlacement(aSubmission->m_id, [](const absl::StatusOr<Placement>&) {});
+    CompleteSubmission(aSubmission->m_id, Accepted{});
+    return;
+  }
+  FetchPlacement(
+    aSubmission->m_id,
+    [self = shared_from_this(),
+     aSubmission](const absl::StatusOr<Placement>& aPlacement) {
+      SubmitOutcome outcome = Accepted{};
+      if (!aPlacement.ok()) {
+        // The placement may be of a batch of another customer.
+        outcome = AcceptanceUnknown{};
+      } else if (IsOfOtherCustomer(*aPlacement, aSubmission->m_customer)) {
+        outcome = NoSuchBatch{};
+      }
+      self->CompleteSubmission(aSubmission->m_id, outcome);
+    });
+}
+
+bool
+Batches::HasCustomers() const
+{
+  return !m_configuration->Read()->m_customers.empty();
+}
+
 SubmitOutcome
 Batches::MakeRejection(const BatchId& aBatch, core::Failure aFailure) const
 {
@@ -144,9 +217,7 @@
       }
       if (absl::IsAborted(aVersion.status())) {
         // An earlier attempt or another host has stored the placement already.
-        self->FetchPlacement(aSubmission->m_id,
-                             [](const absl::StatusOr<Placement>&) {});
-        self->CompleteSubmission(aSubmission->m_id, Accepted{});
+        self->AnswerFromStoredPlacement(aSubmission);
         return;
       }
       self->HandleFailedCreation(
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -224,6 +224,7 @@
   sendContext.m_requestId = aTask.m_itemId;
   sendContext.m_expectedInstance = engine.m_id;
   sendContext.m_customer = aTask.m_customer;
+  sendContext.m_isAnonymous = aTask.m_isAnonymous;
   sendContext.m_timeLeft = aTask.m_deadline - kernel::Now();
   if (aTask.m_resumeAfter > 0) {
     sendContext.m_resumeAfter = aTask.m_resumeAfter;
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -21,6 +21,9 @@
   std::string m_itemId;
   /// The customer of the batch; empty if it has none.
   core::CustomerId m_customer;
+  /// True if the engine must not learn of a customer or an API key that the
+  /// item names.
+  bool m_isAnonymous = false;
   /// Reserves a slot of the chosen engine until the run ends.
   std::shared_ptr<routing::UpstreamReservation> m_reservation;
   /// The id of the event after which the text resumes; 0 to generate it from
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -357,6 +357,7 @@
   task.m_batchId = submission.m_id.m_value;
   task.m_itemId = item.m_id.m_value;
   task.m_customer = submission.m_customer;
+  task.m_isAnonymous = submission.m_customer.m_value.empty() && HasCustomers();
   task.m_reservation = std::make_shared<routing::UpstreamReservation>(
     aView.m_pool, aStart.m_engine);
   engine.m_outstanding += 1;
--- a/src/relay/upstreamcodec.h
+++ b/src/relay/upstreamcodec.h
@@ -23,6 +23,9 @@
   /// The customer that the request belongs to. If it is not empty, it replaces
   /// what the request says of a customer and of an API key.
   core::CustomerId m_customer;
+  /// True if the upstream must not learn what the request says of a customer
+  /// and of an API key, although it belongs to no customer.
+  bool m_isAnonymous = false;
   /// Time from now until the upstream has to stop working on the request.
   std::optional<core::Duration> m_timeLeft;
   /// Resumes the stream after this event of an earlier attempt.
