--- a/src/apps/bench.cpp
+++ b/src/apps/bench.cpp
@@ -5,6 +5,7 @@
 
 #include "bench/capacitybench.h"
 #include "bench/capacitytable.h"
+#include "bench/keybench.h"
 #include "bench/relaybench.h"
 #include "bench/rolloutbench.h"
 #include "bench/servebench.h"
@@ -17,9 +18,10 @@
 int
 PrintUsage()
 {
-  std::cout << "usage: heatherdeal-bench rollout | serve | relay | capacity\n"
-               "       heatherdeal-bench tables POINTS\n"
-               "       heatherdeal-bench check-page POINTS PAGE\n";
+  std::cout
+    << "usage: heatherdeal-bench rollout | serve | relay | capacity | keys\n"
+       "       heatherdeal-bench tables POINTS\n"
+       "       heatherdeal-bench check-page POINTS PAGE\n";
   return kUsageError;
 }
 
@@ -72,6 +74,10 @@
     std::cout << heatherdeal::bench::RunCapacityBench();
     return 0;
   }
+  if (benchName == "keys") {
+    std::cout << heatherdeal::bench::RunKeyBench();
+    return 0;
+  }
   if (benchName == "relay") {
     std::cout << heatherdeal::bench::RunRelayBench();
     return 0;
