--- a/src/batches/tests/batchjsontest.cpp
+++ b/src/batches/tests/batchjsontest.cpp
@@ -48,10 +48,11 @@
   CHECK(resumed->m_texts[0].m_software == checkpoint.m_texts[0].m_software);
   CHECK(ToJson(*resumed) == ToJson(checkpoint));
 
-  Placement placement{ { "b" }, "host", true, 5, 0 };
+  Placement placement{ { "b" }, "host", { "north" }, true, 5, 0 };
   const auto placed = ParsePlacement(ToJson(placement));
   REQUIRE(placed.ok());
   CHECK(placed->m_owner == "host");
+  CHECK(placed->m_customer.m_value == "north");
   CHECK(placed->m_ended);
 }
 
