Log the content of a window once, when the store holds it

In an outage of the store, each attempt to create a content logged a line.

content-decided replaces content-written and says whether the content was stored by this holder or found. Failed attempts are counted by usage.content_writes_failed.

--- a/src/usage/internal/dutyholder.cpp
+++ b/src/usage/internal/dutyholder.cpp
@@ -70,6 +70,22 @@
   return sum;
 }
 
+void
+LogContent(WindowId aWindow,
+           const CustomerCounts& aCounts,
+           bool aIsPartial,
+           std::string_view aOutcome)
+{
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "usage",
+                   "content-decided",
+                   { { "window", aWindow },
+                     { "customers", static_cast<uint64_t>(aCounts.size()) },
+                     { "starts", Sum(aCounts) },
+                     { "partial", aIsPartial },
+                     { "outcome", aOutcome } });
+}
+
 } // namespace
 
 DutyHolder::DutyHolder(kernel::Context& aContext,
@@ -249,22 +265,14 @@
     CallPriority::Lease,
     [self = shared_from_this(), aEffect](absl::StatusOr<uint64_t> aVersion) {
       const WindowId window = aEffect.m_window;
-      kernel::LogEvent(
-        kernel::LogLevel::Info,
-        "usage",
-        "content-written",
-        { { "window", window },
-          { "customers", static_cast<uint64_t>(aEffect.m_counts.size()) },
-          { "starts", Sum(aEffect.m_counts) },
-          { "partial", aEffect.m_isPartial },
-          { "outcome",
-            aVersion.ok() ? "stored"
-                          : http::DescribeStatus(aVersion.status()) } });
       if (aVersion.ok()) {
+        LogContent(window, aEffect.m_counts, aEffect.m_isPartial, "stored");
         self->HandleEvent(ContentStored{ window, aEffect.m_counts });
       } else if (absl::IsAborted(aVersion.status())) {
         self->ReadContent(window);
       } else {
+        // Repeated while the store is down, which has its own event.
+        self->m_context.Metrics().Get("usage.content_writes_failed").Add();
         self->HandleEvent(ContentUnknown{ window });
       }
     });
@@ -282,6 +290,7 @@
                             : absl::StatusOr<CustomerCounts>(
                                 absl::UnavailableError("no content"));
       if (counts.ok()) {
+        LogContent(aWindow, *counts, false, "found");
         self->HandleEvent(ContentStored{ aWindow, *counts });
       } else {
         self->HandleEvent(ContentUnknown{ aWindow });
