Do not print keys in heatherdealctl diff

The command printed both documents with all keys. It now prints the number of each customer's keys, the customers that were added or removed, and those whose keys differ. Run against a stand-in store: customers north with another second key, west removed and south added are shown, and no key. The command show still prints the stored document, which operators edit and apply.

--- a/src/operatortool/commands.cpp
+++ b/src/operatortool/commands.cpp
@@ -111,6 +111,30 @@
   return configuration::ToJson(aDocument);
 }
 
+/// Returns the document as JSON without its generation and without keys.
+std::string
+ToPrintableJson(configuration::Document aDocument)
+{
+  aDocument.m_generation = 0;
+  return configuration::ToJsonWithoutKeys(aDocument);
+}
+
+/// Prints the customers of both documents whose keys differ, without the keys.
+void
+PrintChangedKeys(std::span<const configuration::Customer> aOld,
+                 std::span<const configuration::Customer> aNew)
+{
+  for (const configuration::Customer& customer : aNew) {
+    const auto old = std::ranges::find(
+      aOld, customer.m_name, &configuration::Customer::m_name);
+    if (old != aOld.end() && old->m_keys != customer.m_keys) {
+      std::cout << "~ customer " << customer.m_name.m_value << ": other keys, "
+                << old->m_keys.size() << " before, " << customer.m_keys.size()
+                << " now\n";
+    }
+  }
+}
+
 ToolExit
 Execute(const CheckCommand& aCommand)
 {
@@ -160,8 +184,11 @@
     "service", current.m_services, newDocument.m_services);
   PrintDifference<configuration::Job>(
     "job", current.m_jobs, newDocument.m_jobs);
-  std::cout << "stored:  " << ToJsonWithGeneration(current, 0) << '\n';
-  std::cout << "offered: " << ToJsonWithGeneration(newDocument, 0) << '\n';
+  PrintDifference<configuration::Customer>(
+    "customer", current.m_customers, newDocument.m_customers);
+  PrintChangedKeys(current.m_customers, newDocument.m_customers);
+  std::cout << "stored:  " << ToPrintableJson(current) << '\n';
+  std::cout << "offered: " << ToPrintableJson(newDocument) << '\n';
   return ToolExit::Differs;
 }
 
