Install the headers that configuration/document.h includes

configuration/customer.h and configuration/upstreamscaling.h were missing from the installed package, so that programs of operators would not have compiled. Not run: an installation.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -2,7 +2,7 @@
 set(public_headers
   core/failure.h core/ids.h core/instant.h core/overloaded.h core/rendezvous.h core/sample.h
   core/weightversion.h
-  configuration/document.h
+  configuration/customer.h configuration/document.h configuration/upstreamscaling.h
   delivery/deliverywindow.h delivery/doneset.h delivery/trainercursor.h
   discovery/addresses.h
   forwarding/attempts.h
