Warn of oddities of a document in heatherdealctl check

Reports routes that never match because an earlier one has the same host and prefix, timeouts below the objective, services that no route and no job uses, and customers without keys. The exit code stays 0.

--- a/src/operatortool/commands.cpp
+++ b/src/operatortool/commands.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "configuration/documentjson.h"
+#include "configuration/documentwarnings.h"
 #include "http/exchange.h"
 #include "operatortool/explain.h"
 #include "operatortool/storecalls.h"
@@ -145,6 +146,10 @@
   const auto& document = std::get<configuration::Document>(loaded);
   std::cout << "valid: " << document.m_services.size() << " services, "
             << document.m_jobs.size() << " jobs\n";
+  for (const configuration::DocumentWarning& warning :
+       configuration::FindWarnings(document)) {
+    std::cout << "warning: " << warning.m_path << ' ' << warning.m_text << '\n';
+  }
   return ToolExit::Ok;
 }
 
