Show changed routes, services and customers in heatherdealctl diff

CompareItems tells apart added, removed and changed items by name and content; diff prints them for services, jobs, routes and customers, with the number of a customer's keys but no key.

--- a/src/operatortool/commands.cpp
+++ b/src/operatortool/commands.cpp
@@ -4,8 +4,13 @@
 #include <iostream>
 #include <iterator>
 
+#include "boost/json/parse.hpp"
+#include "boost/json/serialize.hpp"
+
 #include "configuration/documentjson.h"
 #include "configuration/documentwarnings.h"
+#include "configuration/itemdifference.h"
+#include "core/overloaded.h"
 #include "http/exchange.h"
 #include "operatortool/explain.h"
 #include "operatortool/storecalls.h"
@@ -74,33 +79,64 @@
   return std::move(parsed.m_document);
 }
 
-/// Prints the names in aItems that are missing from aOtherItems.
-template<typename Item>
-void
-PrintMissingNames(std::string_view aPrefix,
-                  std::string_view aKind,
-                  std::span<const Item> aItems,
-                  std::span<const Item> aOtherItems)
+/// Returns the elements of an array of the document as JSON.
+std::vector<configuration::DocumentItem>
+ListItems(const configuration::Document& aDocument, std::string_view aArray)
 {
-  for (const Item& item : aItems) {
-    const bool isKnown =
-      std::ranges::find(aOtherItems, item.m_name, &Item::m_name) !=
-      aOtherItems.end();
-    if (!isKnown) {
-      std::cout << aPrefix << ' ' << aKind << ' ' << item.m_name.m_value
-                << '\n';
+  const boost::json::value value =
+    boost::json::parse(configuration::ToJson(aDocument));
+  const boost::json::value* array = value.as_object().if_contains(aArray);
+  std::vector<configuration::DocumentItem> items;
+  if (array == nullptr) {
+    return items;
+  }
+  for (const boost::json::value& element : array->as_array()) {
+    configuration::DocumentItem item;
+    item.m_name = std::string(element.at("name").as_string());
+    item.m_content = boost::json::serialize(element);
+    if (const auto* keys = element.as_object().if_contains("keys")) {
+      item.m_summary = std::to_string(keys->as_array().size()) + " keys";
     }
+    items.push_back(std::move(item));
   }
+  return items;
+}
+
+std::string
+InBrackets(std::string_view aText)
+{
+  return aText.empty() ? "" : " (" + std::string(aText) + ")";
 }
 
-template<typename Item>
+/// Prints the differences of the documents in one of their arrays.
 void
 PrintDifference(std::string_view aKind,
-                std::span<const Item> aOld,
-                std::span<const Item> aNew)
+                std::string_view aArray,
+                const configuration::Document& aOld,
+                const configuration::Document& aNew)
 {
-  PrintMissingNames("-", aKind, aOld, aNew);
-  PrintMissingNames("+", aKind, aNew, aOld);
+  for (const configuration::ItemDifference& difference :
+       configuration::CompareItems(ListItems(aOld, aArray),
+                                   ListItems(aNew, aArray))) {
+    std::visit(core::Overloaded{
+                 [&](const configuration::ItemRemoved& aItem) {
+                   std::cout << "- " << aKind << ' ' << aItem.m_name
+                             << InBrackets(aItem.m_summary) << '\n';
+                 },
+                 [&](const configuration::ItemAdded& aItem) {
+                   std::cout << "+ " << aKind << ' ' << aItem.m_name
+                             << InBrackets(aItem.m_summary) << '\n';
+                 },
+                 [&](const configuration::ItemChanged& aItem) {
+                   std::cout << "~ " << aKind << ' ' << aItem.m_name
+                             << InBrackets(aItem.m_oldSummary);
+                   if (!aItem.m_newSummary.empty()) {
+                     std::cout << " ->" << InBrackets(aItem.m_newSummary);
+                   }
+                   std::cout << '\n';
+                 } },
+               difference);
+  }
 }
 
 /// Returns the document as JSON with its generation replaced, so that documents
@@ -120,22 +156,6 @@
   return configuration::ToJsonWithoutKeys(aDocument);
 }
 
-/// Prints the customers of both documents whose keys differ, without the keys.
-void
-PrintChangedKeys(std::span<const configuration::Customer> aOld,
-                 std::span<const configuration::Customer> aNew)
-{
-  for (const configuration::Customer& customer : aNew) {
-    const auto old = std::ranges::find(
-      aOld, customer.m_name, &configuration::Customer::m_name);
-    if (old != aOld.end() && old->m_keys != customer.m_keys) {
-      std::cout << "~ customer " << customer.m_name.m_value << ": other keys, "
-                << old->m_keys.size() << " before, " << customer.m_keys.size()
-                << " now\n";
-    }
-  }
-}
-
 ToolExit
 Execute(const CheckCommand& aCommand)
 {
@@ -185,13 +205,10 @@
     std::cout << "no difference\n";
     return ToolExit::Ok;
   }
-  PrintDifference<configuration::Service>(
-    "service", current.m_services, newDocument.m_services);
-  PrintDifference<configuration::Job>(
-    "job", current.m_jobs, newDocument.m_jobs);
-  PrintDifference<configuration::Customer>(
-    "customer", current.m_customers, newDocument.m_customers);
-  PrintChangedKeys(current.m_customers, newDocument.m_customers);
+  PrintDifference("service", "services", current, newDocument);
+  PrintDifference("job", "jobs", current, newDocument);
+  PrintDifference("route", "routes", current, newDocument);
+  PrintDifference("customer", "customers", current, newDocument);
   std::cout << "stored:  " << ToPrintableJson(current) << '\n';
   std::cout << "offered: " << ToPrintableJson(newDocument) << '\n';
   return ToolExit::Differs;
