Mend test_batches, which did not compile, and test the stored customer

The field m_customer of Placement, added before m_ended, broke the aggregate in batchjsontest.cpp. The test now gives it a value and checks the round trip. A new test checks that objects without a customer do not have the field, which hosts of earlier releases reject.

--- a/src/batches/tests/batchjsontest.cpp
+++ b/src/batches/tests/batchjsontest.cpp
@@ -48,13 +48,31 @@
   CHECK(resumed->m_texts[0].m_software == checkpoint.m_texts[0].m_software);
   CHECK(ToJson(*resumed) == ToJson(checkpoint));
 
-  Placement placement{ { "b" }, "host", true, 5, 0 };
+  Placement placement{ { "b" }, "host", { "north" }, true, 5, 0 };
   const auto placed = ParsePlacement(ToJson(placement));
   REQUIRE(placed.ok());
   CHECK(placed->m_owner == "host");
+  CHECK(placed->m_customer == placement.m_customer);
   CHECK(placed->m_ended);
 }
 
+// Guards against objects that hosts of earlier releases reject although the
+// deployment has no customers.
+TEST_CASE("the customer is stored only if there is one")
+{
+  Submission submission;
+  submission.m_id.m_value = "b";
+  submission.m_host = "h";
+  submission.m_path = "/p/";
+  Placement placement;
+  CHECK(ToJson(submission).find("customer") == std::string::npos);
+  CHECK(ToJson(placement).find("customer") == std::string::npos);
+  submission.m_customer.m_value = "north";
+  const auto back = ParseSubmission(ToJson(submission));
+  REQUIRE(back.ok());
+  CHECK(back->m_customer == submission.m_customer);
+}
+
 TEST_CASE("malformed stored objects are rejected as invalid input")
 {
   const std::vector<std::string> texts{
