--- a/src/http/tests/budgettest.cpp
+++ b/src/http/tests/budgettest.cpp
@@ -1,3 +1,4 @@
+#include "boost/asio/write.hpp"
 #include "catch2/catch.hpp"
 
 #include "http/tests/loopback.h"
@@ -65,4 +66,36 @@
       .starts_with("HTTP/1.1 200"));
 }
 
+// Guards against bodies that stop just short of the end and block all others
+// until their timeout.
+TEST_CASE("a stalled body gives way to one that arrives")
+{
+  Loopback loopback(SmallBudgetSettings());
+  loopback.Http().AddRoute(
+    { "POST", "/", [](Exchange& aExchange) -> boost::asio::awaitable<void> {
+       Response response;
+       co_await aExchange.RespondIgnoringErrors(std::move(response));
+     } });
+  loopback.Listen();
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::socket stalled(loop);
+  stalled.connect(LoopbackEndpoint(loopback.Self().m_port));
+  const std::string head = MakeHead("Content-Length: 900000");
+  boost::asio::write(stalled, boost::asio::buffer(head));
+  const std::string body(900'000, 'x');
+  uint32_t status = 0;
+  // Refused until the other body counts as stalled.
+  for (int i = 0; i < 100 && status != 200; ++i) {
+    const auto response = loopback.Call(loopback.Self(),
+                                        { "POST", "/", {}, body },
+                                        Reuse::Never,
+                                        std::chrono::seconds(5));
+    status = response.ok() ? response->m_head.m_status : 0;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  CHECK(status == 200);
+  CHECK(loopback.Kernel().Metrics().Get("http.gave_way_for_bytes").m_value ==
+        1);
+}
+
 } // namespace heatherdeal::http
