Do not use the metrics when a reservation ends

A response may live longer than the process context that it came from, as in test_platform_resumption, where the end of its reservation then wrote to freed metrics: the program broke off with "unaligned fastbin chunk" or hung (a timeout of 70 s in CTest). The gauge of reserved bytes is now set when the metrics are read. test_platform_resumption (153 assertions), test_http (256) and test_platform_abusive_clients (90) pass.

--- a/src/http/httpmodule.cpp
+++ b/src/http/httpmodule.cpp
@@ -113,6 +113,10 @@
 {
   Response response;
   response.m_head.m_headers.push_back({ "Content-Type", "text/plain" });
+  const auto budget = aContext.Get<ProcessBudget>();
+  aContext.Metrics()
+    .GaugeOf("http.budget_bytes")
+    .Set(static_cast<int64_t>(budget->Usage().m_bytes));
   response.m_body = kernel::ToPrometheusText(aContext.Metrics());
   co_await aExchange.RespondIgnoringErrors(std::move(response));
 }
--- a/src/http/internal/processbudget.cpp
+++ b/src/http/internal/processbudget.cpp
@@ -115,9 +115,9 @@
   if (!usage) {
     return false;
   }
+  // The metrics are not used here: a response, and with it its reservation, may
+  // live longer than they do.
   m_usage = *usage;
-  m_metrics.GaugeOf("http.budget_bytes")
-    .Set(static_cast<int64_t>(m_usage.m_bytes));
   return true;
 }
 
