Use the kernel's sleep in http

The budget had brought a second function that suspends a coroutine until an instant, because the test of routing did not link the first one.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -7,8 +7,8 @@
 #include "boost/asio/use_awaitable.hpp"
 #include "boost/beast/http/error.hpp"
 
-#include "http/internal/pause.h"
 #include "kernel/eventlog.h"
+#include "kernel/sleep.h"
 
 namespace heatherdeal::http {
 
@@ -364,7 +364,7 @@
     if (!mayFreeBytes || m_isGivingWay || kernel::Now() >= end) {
       co_return false;
     }
-    co_await PauseUntil(kernel::Now() + kReservePause);
+    co_await kernel::SleepUntil(kernel::Now() + kReservePause);
     // This connection is not stalled, but does not read meanwhile.
     m_budgetSlot->RecordProgress(0);
   }
--- a/src/http/internal/responsestream.cpp
+++ b/src/http/internal/responsestream.cpp
@@ -4,8 +4,8 @@
 
 #include "core/failure.h"
 #include "http/client.h"
-#include "http/internal/pause.h"
 #include "http/internal/pooledconnection.h"
+#include "kernel/sleep.h"
 
 namespace heatherdeal::http {
 
@@ -36,7 +36,7 @@
       aBudget.Metrics().Get("http.response_over_budget").Add();
       co_return false;
     }
-    co_await PauseUntil(kernel::Now() + kBudgetPause);
+    co_await kernel::SleepUntil(kernel::Now() + kBudgetPause);
   }
   co_return true;
 }
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -7,8 +7,8 @@
 #include "boost/asio/use_awaitable.hpp"
 
 #include "http/internal/connection.h"
-#include "http/internal/pause.h"
 #include "kernel/log.h"
+#include "kernel/sleep.h"
 
 namespace heatherdeal::http {
 
@@ -61,7 +61,7 @@
     }
     if (error) {
       context.Metrics().Get("http.accept_failed").Add();
-      co_await PauseUntil(kernel::Now() + kAcceptPause);
+      co_await kernel::SleepUntil(kernel::Now() + kAcceptPause);
       continue;
     }
     if (aServer->OpenConnections().load() >=
--- a/src/routing/decisions/expectedwork.cpp
+++ b/src/routing/decisions/expectedwork.cpp
@@ -91,10 +91,8 @@
   };
   // Compares the same two upstreams as TwoChoices, with the same preference for
   // the one in turn, and more of them only if the better one is in a slow
-  // phase. Reports are late, so that comparing more each time sends the
-  // requests of all hosts to the few upstreams that seem best; with four draws
-  // for all slow upstreams, 16% of the calls were late in the load model
-  // instead of 9%.
+  // phase. Reports are late, so that comparing more each time would send the
+  // requests of all hosts to the few upstreams that seem best.
   const std::optional<size_t> first = FindNextCandidate(
     aUpstreams, aRequest, aRequest.m_sequence % aUpstreams.Size());
   if (!first) {
--- a/src/routing/decisions/worktime.cpp
+++ b/src/routing/decisions/worktime.cpp
@@ -20,9 +20,8 @@
 // The ratio of one request varies as much as its cost does within its class.
 constexpr uint32_t kDecaySamples = 128;
 // The standard deviation of one ratio. A deviation of the mean that is smaller
-// than this, divided by the root of the number of samples, may be chance.
-// Taking it at face value made 4.05% of the calls late on equal upstreams,
-// instead of 3.72% now and 3.56% by two choices.
+// than this, divided by the root of the number of samples, may be chance, and
+// must not make equal upstreams look unequal.
 constexpr double kRatioNoise = 0.5;
 // With one sample, half of its deviation counts.
 constexpr double kPriorSamples = 1.0;
