--- a/src/http/body.h
+++ b/src/http/body.h
@@ -37,8 +37,8 @@
                      : std::string_view();
   }
   operator std::string_view() const { return View(); }
-  size_t size() const { return View().size(); }
-  bool empty() const { return View().empty(); }
+  size_t Size() const { return View().size(); }
+  bool IsEmpty() const { return View().empty(); }
 
   friend bool operator==(const Body& aBody, std::string_view aBytes)
   {
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -112,7 +112,7 @@
   , m_buffer(m_server->Settings().m_maxHeaderBytes + 4096)
   , m_ownBytes(m_server->Budget())
   , m_loopIndex(aLoopIndex)
-  , m_giveWayTarget(std::make_shared<GiveWayTarget>(this))
+  , m_giveWayTarget(std::make_shared<GiveWayTarget>(GiveWayTarget{ this }))
   , m_budgetSlot(std::make_unique<ProcessBudget::IncomingConnection>(
       m_server->Budget(),
       MakeGiveWayCallback()))
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -60,7 +60,7 @@
   const size_t kind =
     aCall.m_position.index() * kOrigins + aCall.m_origin.index();
   return { aCall.m_route.m_name,
-           aCall.m_request.m_body.size(),
+           aCall.m_request.m_body.Size(),
            static_cast<uint32_t>(kind) };
 }
 
--- a/src/routing/tests/loadmodel.cpp
+++ b/src/routing/tests/loadmodel.cpp
@@ -399,11 +399,11 @@
   double ReportedWorkTime(const ModelUpstream& aUpstream) const
   {
     switch (m_settings.m_figure) {
-      case ReportedFigure::kNone:
+      case ReportedFigure::None:
         return 0.0;
-      case ReportedFigure::kPhases:
+      case ReportedFigure::Phases:
         return aUpstream.m_isSlow ? m_settings.m_phaseFactor : 1.0;
-      case ReportedFigure::kPhasesAndSpeed:
+      case ReportedFigure::PhasesAndSpeed:
         return 1.0 / RateOf(aUpstream);
     }
     return 0.0;
--- a/src/routing/tests/loadmodel.h
+++ b/src/routing/tests/loadmodel.h
@@ -20,11 +20,11 @@
 /// What the fourth figure of a load report contains.
 enum class ReportedFigure : uint8_t
 {
-  kNone,
+  None,
   /// The slow phases of a machine only.
-  kPhases,
+  Phases,
   /// The slow phases and the speed of the machine.
-  kPhasesAndSpeed
+  PhasesAndSpeed
 };
 
 /// A service with many choosing hosts, some upstreams, and two kinds of calls.
@@ -39,7 +39,7 @@
   /// A machine is slow for 600 ms, this often per second on average.
   double m_phasesPerSecond = 1.0 / 3.0;
   double m_phaseFactor = 2.5;
-  ReportedFigure m_figure = ReportedFigure::kPhasesAndSpeed;
+  ReportedFigure m_figure = ReportedFigure::PhasesAndSpeed;
   /// Work that arrives, as a share of what the upstreams can do.
   double m_utilization = 0.6;
   /// Share of that work that long calls cause.
--- a/src/routing/tests/loadmodeltest.cpp
+++ b/src/routing/tests/loadmodeltest.cpp
@@ -35,10 +35,10 @@
   separate.m_hasSeparateHosts = true;
   loads.push_back({ "a kind a host, 60%", separate });
   ModelSettings phases;
-  phases.m_figure = ReportedFigure::kPhases;
+  phases.m_figure = ReportedFigure::Phases;
   loads.push_back({ "figure without speed", phases });
   ModelSettings none;
-  none.m_figure = ReportedFigure::kNone;
+  none.m_figure = ReportedFigure::None;
   loads.push_back({ "no figure", none });
   ModelSettings shortOnly;
   shortOnly.m_longShare = 0.0;
--- a/src/usage/internal/countsender.cpp
+++ b/src/usage/internal/countsender.cpp
@@ -209,7 +209,7 @@
   request.m_target = kCountsPath;
   request.m_body = EncodeCounts(aMessage.m_message);
   m_context.Metrics().Get("usage.messages").Add();
-  m_context.Metrics().Get("usage.message_bytes").Add(request.m_body.size());
+  m_context.Metrics().Get("usage.message_bytes").Add(request.m_body.Size());
   auto send = [](std::shared_ptr<CountSender> aSelf,
                  core::Endpoint aPeer,
                  http::Request aRequest,
--- a/src/usage/internal/dutyholder.cpp
+++ b/src/usage/internal/dutyholder.cpp
@@ -452,7 +452,7 @@
   m_context.Metrics().Get("usage.messages_received").Add();
   m_context.Metrics()
     .Get("usage.received_bytes")
-    .Add(aExchange.ReceivedRequest().m_body.size());
+    .Add(aExchange.ReceivedRequest().m_body.Size());
   using Outcome = std::variant<http::Response, core::Endpoint>;
   const bool isForwarded =
     !http::FindHeader(aExchange.ReceivedRequest().m_headers, kForwardedHeader)
