--- a/src/routing/internal/pool.cpp
+++ b/src/routing/internal/pool.cpp
@@ -37,12 +37,41 @@
   facts.m_outstanding = stats.m_outstanding.load();
   facts.m_reportedLoad = stats.m_reportedLoad.load();
   facts.m_reportedAt = ToInstant(stats.m_reportedAt.load());
+  return facts;
+}
+
+/// Also reads what only the choice by expected work looks at, under a lock.
+UpstreamFacts
+ReadFactsWithWork(const Upstream& aUpstream)
+{
+  const UpstreamStats& stats = *aUpstream.m_stats;
+  UpstreamFacts facts = ReadFacts(aUpstream);
   facts.m_outstandingWork = static_cast<double>(stats.m_outstandingWork.load());
   facts.m_reportedSlots = stats.m_reportedSlots.load();
   facts.m_workTime = ReadWorkTime(stats);
   return facts;
 }
 
+/// Returns the upstreams of the pool, with the facts that its routing policy
+/// looks at.
+UpstreamSource
+SourceOf(const Pool& aPool)
+{
+  const auto factsAt = [](const void* aContext, size_t aIndex) {
+    return ReadFacts(static_cast<const Upstream*>(aContext)[aIndex]);
+  };
+  const auto factsWithWorkAt = [](const void* aContext, size_t aIndex) {
+    return ReadFactsWithWork(static_cast<const Upstream*>(aContext)[aIndex]);
+  };
+  UpstreamSource source{ aPool.m_upstreams.size(),
+                         aPool.m_upstreams.data(),
+                         factsAt };
+  if (aPool.m_work) {
+    source.m_factsAt = factsWithWorkAt;
+  }
+  return source;
+}
+
 bool
 IsByExpectedWork(const configuration::Service& aService)
 {
@@ -195,8 +224,10 @@
 {
   UpstreamStats& stats = *Chosen().m_stats;
   const core::Instant now = kernel::Now();
-  m_hadWaiting = stats.m_reportedWaiting.load() > 0;
-  m_workTimeAtSend = ExpectReportedWorkTime(ReadWorkTime(stats), now);
+  if (m_pool->m_work) {
+    m_hadWaiting = stats.m_reportedWaiting.load() > 0;
+    m_workTimeAtSend = ExpectReportedWorkTime(ReadWorkTime(stats), now);
+  }
   stats.m_outstanding.fetch_add(1);
   stats.m_outstandingWork.fetch_add(m_expectedWork);
   stats.m_pacing.TakePermit(now);
@@ -428,12 +459,7 @@
                         TriedUpstreams aTried,
                         core::Instant aNow)
 {
-  const UpstreamSource source{ aPool->m_upstreams.size(),
-                               aPool->m_upstreams.data(),
-                               [](const void* aContext, size_t aIndex) {
-                                 return ReadFacts(static_cast<const Upstream*>(
-                                   aContext)[aIndex]);
-                               } };
+  const UpstreamSource source = SourceOf(*aPool);
   const WorkKey key = KeyOf(aClass);
   const ChoiceRequest request{ m_ownFailureDomain,
                                aTried,
