Share the delay for released leases and the look-ups of hosts

usage had written again how weights delays the shutdown until a released lease is stored, and looked hosts up by name and by role in five loops. Both are one piece of code each now. The result of a message of counts is passed on whole instead of in three parts.

--- a/src/customers/internal/authenticator.cpp
+++ b/src/customers/internal/authenticator.cpp
@@ -1,7 +1,6 @@
 #include "customers/authenticator.h"
 
 #include "absl/strings/match.h"
-#include "absl/strings/strip.h"
 
 #include "kernel/controlthread.h"
 
--- a/src/usage/internal/countsender.cpp
+++ b/src/usage/internal/countsender.cpp
@@ -7,6 +7,7 @@
 #include "http/client.h"
 #include "objectstore/hosts.h"
 #include "usage/internal/countscodec.h"
+#include "usage/internal/hostlookup.h"
 
 namespace heatherdeal::usage {
 
@@ -33,18 +34,10 @@
 // How long messages go by way of another host before the holder is tried again.
 constexpr core::Duration kDetourTime = std::chrono::seconds(10);
 
-/// What came back for a message.
-struct SendResult
-{
-  std::optional<CountReceipt> m_receipt;
-  /// The holder, if the message went to a host that is not the holder.
-  std::optional<Holder> m_newerHolder;
-  /// True if there was no answer of the holder.
-  bool m_isUnreachable = false;
-};
+} // namespace
 
-SendResult
-DecodeResult(const absl::StatusOr<http::Response>& aResponse)
+CountSender::SendResult
+CountSender::DecodeResult(const absl::StatusOr<http::Response>& aResponse)
 {
   SendResult result;
   if (!aResponse.ok()) {
@@ -67,8 +60,6 @@
   return result;
 }
 
-} // namespace
-
 CountSender::CountSender(kernel::Context& aContext,
                          const UsageSettings& aSettings,
                          std::shared_ptr<UsageCounter> aCounter,
@@ -138,16 +129,12 @@
 void
 CountSender::ChooseDetour()
 {
-  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
   const auto gossip = m_context.Get<gossip::Gossip>();
-  std::vector<std::string> candidates;
-  for (const objectstore::HostEntry& host : *hosts) {
-    if (host.m_service == objectstore::kRolloutRole &&
-        host.m_name != m_state.m_holder.m_host && host.m_name != m_detour &&
-        gossip->IsAvailable(host.m_name)) {
-      candidates.push_back(host.m_name);
-    }
-  }
+  const std::vector<std::string> candidates = FindHosts(
+    m_context, objectstore::kRolloutRole, [&](std::string_view aHost) {
+      return aHost != m_state.m_holder.m_host && aHost != m_detour &&
+             gossip->IsAvailable(aHost);
+    });
   m_detour.clear();
   if (!candidates.empty()) {
     // Differs between hosts, so that one host does not pass on all counts.
@@ -161,13 +148,8 @@
 std::optional<core::Endpoint>
 CountSender::FindTarget() const
 {
-  const std::string& target =
-    m_detour.empty() ? m_state.m_holder.m_host : m_detour;
-  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
-  const auto holder =
-    std::ranges::find(*hosts, target, &objectstore::HostEntry::m_name);
-  return holder == hosts->end() ? std::nullopt
-                                : std::optional(holder->m_endpoint);
+  return FindEndpoint(m_context,
+                      m_detour.empty() ? m_state.m_holder.m_host : m_detour);
 }
 
 void
@@ -223,8 +205,7 @@
               kernel::Now() + kSendTimeout);
     aSelf->m_context.Control().Post(
       [aSelf, sent = std::move(aSent), result = DecodeResult(response)] {
-        aSelf->HandleResponse(
-          sent, result.m_receipt, result.m_newerHolder, result.m_isUnreachable);
+        aSelf->HandleResult(sent, result);
       });
   };
   asio::co_spawn(
@@ -234,20 +215,18 @@
 }
 
 void
-CountSender::HandleResponse(const PreparedMessage& aMessage,
-                            const std::optional<CountReceipt>& aReceipt,
-                            const std::optional<Holder>& aNewerHolder,
-                            bool aIsUnreachable)
+CountSender::HandleResult(const PreparedMessage& aMessage,
+                          const SendResult& aResult)
 {
-  if (!aReceipt) {
+  if (!aResult.m_receipt) {
     m_context.Metrics().Get("usage.messages_failed").Add();
   }
-  RecordReceipt(m_state, aMessage, aReceipt);
-  if (aNewerHolder) {
-    m_announcement->Announce(*aNewerHolder);
+  RecordReceipt(m_state, aMessage, aResult.m_receipt);
+  if (aResult.m_newerHolder) {
+    m_announcement->Announce(*aResult.m_newerHolder);
   }
   const bool isCurrent = aMessage.m_message.m_epoch == m_state.m_holder.m_epoch;
-  if (aIsUnreachable && isCurrent) {
+  if (aResult.m_isUnreachable && isCurrent) {
     const bool wasDirect = m_detour.empty();
     ChooseDetour();
     // Otherwise the next message waits for its time, so that nothing loops.
--- a/src/usage/internal/countsender.h
+++ b/src/usage/internal/countsender.h
@@ -3,6 +3,9 @@
 #include <memory>
 #include <optional>
 
+#include "absl/status/statusor.h"
+
+#include "http/message.h"
 #include "kernel/context.h"
 #include "kernel/deadlinetimer.h"
 #include "usage/internal/holderannouncement.h"
@@ -27,14 +30,23 @@
   const CountSending& State() const { return m_state; }
 
 private:
+  /// What came back for a message.
+  struct SendResult
+  {
+    std::optional<CountReceipt> m_receipt;
+    /// The holder, if the message went to a host that is not the holder.
+    std::optional<Holder> m_newerHolder;
+    /// True if there was no answer of the holder.
+    bool m_isUnreachable = false;
+  };
+
+  static SendResult DecodeResult(
+    const absl::StatusOr<http::Response>& aResponse);
   void Tick();
   void ScheduleTick();
   void SendIfDue();
   void Send(const core::Endpoint& aHolder, PreparedMessage aMessage);
-  void HandleResponse(const PreparedMessage& aMessage,
-                      const std::optional<CountReceipt>& aReceipt,
-                      const std::optional<Holder>& aNewerHolder,
-                      bool aIsUnreachable);
+  void HandleResult(const PreparedMessage& aMessage, const SendResult& aResult);
   /// Returns where the next message goes: to the holder, or to a host that
   /// passes it on while the holder cannot be reached.
   std::optional<core::Endpoint> FindTarget() const;
--- a/src/usage/internal/dutyholder.cpp
+++ b/src/usage/internal/dutyholder.cpp
@@ -13,6 +13,7 @@
 #include "kernel/eventlog.h"
 #include "objectstore/hosts.h"
 #include "usage/internal/countscodec.h"
+#include "usage/internal/hostlookup.h"
 #include "usage/internal/reportdelivery.h"
 
 namespace heatherdeal::usage {
@@ -123,14 +124,10 @@
 {
   const std::string& self = m_context.Self().m_host;
   const auto gossip = m_context.Get<gossip::Gossip>();
-  std::vector<std::string> hosts;
-  for (const objectstore::HostEntry& host :
-       *m_context.Get<objectstore::Hosts>()->Read()) {
-    if (host.m_service == objectstore::kRolloutRole &&
-        gossip->IsAvailable(host.m_name)) {
-      hosts.push_back(host.m_name);
-    }
-  }
+  std::vector<std::string> hosts = FindHosts(
+    m_context, objectstore::kRolloutRole, [&](std::string_view aHost) {
+      return gossip->IsAvailable(aHost);
+    });
   hosts = core::RankHosts(hosts, kLeaseName);
   hosts.resize(std::min(hosts.size(), kCandidates));
   const bool isHolderKnown =
@@ -206,15 +203,10 @@
 DutyHolder::ExpectedHosts() const
 {
   const auto gossip = m_context.Get<gossip::Gossip>();
-  std::vector<std::string> expected;
-  for (const objectstore::HostEntry& host :
-       *m_context.Get<objectstore::Hosts>()->Read()) {
-    if (host.m_service == objectstore::kEntryRole &&
-        gossip->IsRecentlyHeard(host.m_name)) {
-      expected.push_back(host.m_name);
-    }
-  }
-  return expected;
+  return FindHosts(
+    m_context, objectstore::kEntryRole, [&](std::string_view aHost) {
+      return gossip->IsRecentlyHeard(aHost);
+    });
 }
 
 void
@@ -405,11 +397,7 @@
       holder.m_host == m_context.Self().m_host) {
     return std::nullopt;
   }
-  const auto hosts = m_context.Get<objectstore::Hosts>()->Read();
-  const auto entry =
-    std::ranges::find(*hosts, holder.m_host, &objectstore::HostEntry::m_name);
-  return entry == hosts->end() ? std::nullopt
-                               : std::optional(entry->m_endpoint);
+  return FindEndpoint(m_context, holder.m_host);
 }
 
 asio::awaitable<http::Response>
--- a/src/usage/usagemodule.cpp
+++ b/src/usage/usagemodule.cpp
@@ -4,6 +4,7 @@
 #include "http/httpmodule.h"
 #include "http/server.h"
 #include "kernel/plugin.h"
+#include "lease/releasedelay.h"
 #include "objectstore/objectstoremodule.h"
 #include "usage/internal/countsender.h"
 #include "usage/internal/dutyholder.h"
@@ -12,15 +13,12 @@
 
 namespace {
 
-constexpr core::Duration kLeaseReleaseDelay = std::chrono::milliseconds(500);
-
 /// The state of the plug-in. A host either counts or competes for the duty.
 struct UsagePlugin
 {
   std::shared_ptr<CountSender> m_sender;
   std::shared_ptr<DutyHolder> m_holder;
-  std::unique_ptr<kernel::DeadlineTimer> m_drainTimer;
-  kernel::Shutdown::Hold m_drainHold;
+  std::unique_ptr<lease::ReleaseDelay> m_releaseDelay;
 };
 
 std::any
@@ -71,15 +69,7 @@
     return;
   }
   plugin->m_holder->Resign();
-  // Delays the shutdown so that the released lease can be written to the store.
-  plugin->m_drainHold = aContext.ProcessShutdown().Acquire();
-  plugin->m_drainTimer = std::make_unique<kernel::DeadlineTimer>(
-    aContext.Control(), [weak = std::weak_ptr(plugin)] {
-      if (const auto locked = weak.lock()) {
-        locked->m_drainHold.reset();
-      }
-    });
-  plugin->m_drainTimer->Set(kernel::Now() + kLeaseReleaseDelay);
+  plugin->m_releaseDelay = std::make_unique<lease::ReleaseDelay>(aContext);
 }
 
 boost::json::value
--- a/src/weights/weightsmodule.cpp
+++ b/src/weights/weightsmodule.cpp
@@ -4,6 +4,7 @@
 #include "gossip/gossipmodule.h"
 #include "kernel/plugin.h"
 #include "lease/leasesettings.h"
+#include "lease/releasedelay.h"
 #include "objectstore/objectstoremodule.h"
 #include "weights/engineversions.h"
 #include "weights/internal/weightupdater.h"
@@ -15,7 +16,6 @@
 namespace {
 
 constexpr int64_t kMaxOrderTimeMilliseconds = 3'600'000;
-constexpr core::Duration kLeaseReleaseDelay = std::chrono::milliseconds(500);
 
 /// The state of the plug-in: a weight updater for each service of engines.
 struct WeightsPlugin
@@ -24,8 +24,7 @@
   WeightsSettings m_settings;
   std::map<std::string, std::shared_ptr<WeightUpdater>, std::less<>> m_updaters;
   std::map<std::string, core::WeightVersion, std::less<>> m_targetVersions;
-  std::unique_ptr<kernel::DeadlineTimer> m_drainTimer;
-  kernel::Shutdown::Hold m_drainHold;
+  std::unique_ptr<lease::ReleaseDelay> m_releaseDelay;
 };
 
 std::any
@@ -145,16 +144,7 @@
   for (const auto& [name, updater] : plugin->m_updaters) {
     updater->Resign();
   }
-  // Delays the shutdown so that the released leases can be written to the
-  // store.
-  plugin->m_drainHold = aContext.ProcessShutdown().Acquire();
-  plugin->m_drainTimer = std::make_unique<kernel::DeadlineTimer>(
-    aContext.Control(), [weak = std::weak_ptr(plugin)] {
-      if (const auto locked = weak.lock()) {
-        locked->m_drainHold.reset();
-      }
-    });
-  plugin->m_drainTimer->Set(kernel::Now() + kLeaseReleaseDelay);
+  plugin->m_releaseDelay = std::make_unique<lease::ReleaseDelay>(aContext);
 }
 
 boost::json::value
