--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -7,6 +7,7 @@
 #include "quarantine/fingerprint.h"
 #include "relay/attemptlimit.h"
 #include "relay/internal/peerrelay.h"
+#include "relay/internal/startrecorder.h"
 
 namespace heatherdeal::relay {
 
@@ -156,61 +157,6 @@
   }
 }
 
-/// Counts a caller's request once, however often it is tried. A request that
-/// was sent without an answer may have run, and is counted when its call ends.
-class Relay::StartRecorder
-{
-public:
-  StartRecorder(std::shared_ptr<usage::UsageCounter> aCounter,
-                const RoutedCall& aCall)
-    : m_customer(aCall.m_customer)
-  {
-    // A call that came by way of another host is counted there.
-    const bool isCounted =
-      aCall.m_mayDetour && std::holds_alternative<CallerOrigin>(aCall.m_origin);
-    if (isCounted && !m_customer.m_value.empty()) {
-      m_counter = std::move(aCounter);
-    }
-  }
-  ~StartRecorder()
-  {
-    if (m_unansweredSentAt) {
-      Record(*m_unansweredSentAt);
-    }
-  }
-  StartRecorder(const StartRecorder&) = delete;
-  StartRecorder& operator=(const StartRecorder&) = delete;
-
-  /// Sets the time at which the next attempt is sent.
-  void SetSendTime(int64_t aUnixMilliseconds) { m_sentAt = aUnixMilliseconds; }
-  /// The upstream has executed the attempt.
-  void ReportExecuted() { Record(m_sentAt); }
-  /// The attempt has ended without an answer that tells whether it was
-  /// executed.
-  void ReportFailure(const core::Failure& aFailure)
-  {
-    if (core::ExecutedOf(aFailure) != core::Executed::No &&
-        !m_unansweredSentAt) {
-      m_unansweredSentAt = m_sentAt;
-    }
-  }
-
-private:
-  void Record(int64_t aUnixMilliseconds)
-  {
-    if (m_counter) {
-      m_counter->RecordStart(m_customer, aUnixMilliseconds);
-      m_counter.reset();
-    }
-  }
-
-  core::CustomerId m_customer;
-  /// Null if the request is not to be counted, or has been.
-  std::shared_ptr<usage::UsageCounter> m_counter;
-  int64_t m_sentAt = 0;
-  std::optional<int64_t> m_unansweredSentAt;
-};
-
 /// The state of one call across its attempts.
 struct Relay::CallState
 {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -80,6 +80,7 @@
 inline constexpr std::string_view kPeerPath = "/relay/";
 
 class PeerRelay;
+class StartRecorder;
 
 /// Records what an answer says of its upstream: its limit, and whether it
 /// leaves. The answer of another instance says nothing, and a refusal without a
@@ -114,7 +115,6 @@
 
 private:
   struct CallState;
-  class StartRecorder;
 
   /// Returns the host by way of which the call should go now, if any.
   std::optional<objectstore::HostEntry> ChoosePeer(const RoutedCall& aCall,
