Review case 6: a batch with an empty output can't be read after a restart

Rule: LOST (batch submissions). A batch submission can't be read, a result that had been read doesn't come again.

Order of events: a batch is run and read to the end; one item's text is empty. The processes of the store machines are killed and start again. The new owner can't parse the stored result, as its text has to be non-empty, and tries again for good; all calls about the batch are answered 503.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,17 +1,17 @@
-// A batch runs on eight workers whose answers have no length. One crashes in
-// the middle of its texts, and a quarter of a second later a second one, at
-// which texts of the first go on.
+// Two batches are done and read. In one of them an item's output is empty. The
+// processes of the store machines are killed and come back; the batches are
+// read again.
 
-#include <algorithm>
+#include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <map>
-#include <sstream>
 #include <string>
+#include <vector>
 
 #include "boost/json/parse.hpp"
 #include "boost/json/serialize.hpp"
 
+#include "deployment.h"
 #include "worker.h"
 #include "world.h"
 
@@ -19,38 +19,20 @@
 
 using namespace review;
 
+constexpr int kItems = 8;
+constexpr int kEvents = 10;
 constexpr int kEngines = 8;
-constexpr int kSlots = 8;
-// One slot of each worker stays free.
-constexpr int kItems = kEngines * (kSlots - 1);
-constexpr int kEvents = 24;
-constexpr int kEventBytes = 24;
-constexpr std::string_view kBatch = "b0000000000000c6";
+constexpr int kStores = 4;
+constexpr int64_t kFirstReadMs = 20'000;
+// Well over contactMs, catchUpS and recoverS together.
+constexpr int64_t kSecondReadMs = 25'000;
 
-std::string
-ItemId(int aItem)
-{
-  char id[32];
-  std::snprintf(id, sizeof id, "e0000000000000%02x", aItem);
-  return id;
-}
-
-std::string
-Seed(int aItem)
-{
-  return "5eed" + std::to_string(aItem) + ":64";
-}
-
-std::string
-ExpectedText(int aItem)
+struct Batch
 {
-  std::string text;
-  for (int event = 1; event <= kEvents; ++event) {
-    text +=
-      (event == 1 ? "" : "\n") + EventData(Seed(aItem), event, kEventBytes);
-  }
-  return text;
-}
+  std::string m_id;
+  std::string m_what;
+  bool m_hasEmptyOutput = false;
+};
 
 json::value
 MakeConfiguration()
@@ -58,17 +40,8 @@
   return {
     { "version", 7 },
     { "routes",
-      json::array{ { { "name", "rewards" },
-                     { "host", "h.example" },
-                     { "pathPrefix", "/reward/" },
-                     { "kind", "safe" },
-                     { "timeoutMs", 2000 },
-                     { "sloMs", 150 },
-                     { "priority", 2 },
-                     { "service", "plain" },
-                     { "maxAttempts", 3 } },
-                   { { "name", "texts" },
-                     { "host", "h.example" },
+      json::array{ { { "name", "texts" },
+                     { "host", kHostName },
                      { "pathPrefix", "/texts/" },
                      { "kind", "rollout" },
                      { "timeoutMs", 10000 },
@@ -77,6 +50,15 @@
                      { "maxQueueS", 60 },
                      { "priority", 1 },
                      { "service", "engines" },
+                     { "maxAttempts", 3 } },
+                   { { "name", "rewards" },
+                     { "host", kHostName },
+                     { "pathPrefix", "/reward/" },
+                     { "kind", "safe" },
+                     { "timeoutMs", 2000 },
+                     { "sloMs", 150 },
+                     { "priority", 2 },
+                     { "service", "plain" },
                      { "maxAttempts", 3 } } } },
     { "services",
       json::array{
@@ -91,7 +73,7 @@
           { "protocol", "h1" },
           { "tls", false },
           { "engine",
-            { { "slots", kSlots },
+            { { "slots", 8 },
               { "kvCapacity", 100000 },
               { "models", json::array{ { { "name", "model-1" } } } } } } } } },
     { "limits",
@@ -103,24 +85,28 @@
 }
 
 std::string
-MakeSubmission()
+MakeSubmission(const Batch& aBatch)
 {
   json::array items;
   for (int item = 0; item < kItems; ++item) {
-    char scorer[32];
-    std::snprintf(scorer, sizeof scorer, "40000000000000%02x", item);
-    items.push_back({ { "id", ItemId(item) },
+    char suffix[8];
+    std::snprintf(suffix, sizeof suffix, "%02x", item);
+    const std::string id = aBatch.m_id.substr(0, 14) + suffix;
+    const bool isEmpty = aBatch.m_hasEmptyOutput && item == 0;
+    json::object headers{
+      { "Model", "model-1" },
+      { "Token-Counts", "64," + std::to_string(isEmpty ? 1 : kEvents) },
+      { "Prompt-Prefix", (isEmpty ? "empty" : "5eed") + id + ":64" }
+    };
+    items.push_back({ { "id", id },
                       { "path", "/texts/" + std::to_string(item) },
-                      { "headers",
-                        { { "Model", "model-1" },
-                          { "Token-Counts", "64," + std::to_string(kEvents) },
-                          { "Prompt-Prefix", Seed(item) } } },
+                      { "headers", std::move(headers) },
                       { "body", "q83vEjRWeJA=" },
                       { "tokens", 64 + kEvents },
                       { "group", "g" + std::to_string(item / 4) },
                       { "scorer",
-                        { { "id", scorer },
-                          { "host", "h.example" },
+                        { { "id", "4" + id.substr(1) },
+                          { "host", kHostName },
                           { "path", "/reward/1" },
                           { "body", "3q2+7w==" } } } });
   }
@@ -130,88 +116,57 @@
                           { "desiredCount", kItems / 4 },
                           { "items", std::move(items) } };
   const std::string text = json::serialize(body);
-  return "POST /texts/step HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
-         std::string(kBatch) +
+  return "POST /texts/step HTTP/1.1\r\nHost: " + std::string(kHostName) +
+         "\r\nRequest-Id: " + aBatch.m_id +
          "\r\nContent-Type: application/json\r\nContent-Length: " +
          std::to_string(text.size()) + "\r\n\r\n" + text;
 }
 
-int
-CallFront(const std::string& aFront,
-          const std::string& aRequest,
-          Message& aResponse)
+Message
+CallFront(const std::string& aFront, const std::string& aRequest)
 {
   const auto channel = Connect(aFront, kFrontPort, 1000);
   if (!channel || !channel->Send(aRequest)) {
-    return 0;
+    return {};
   }
-  aResponse = channel->Read(NowMs() + 6000);
-  return aResponse.m_isComplete ? aResponse.Status() : 0;
+  return channel->Read(NowMs() + 6000);
 }
 
-/// Returns the worker at which most texts of the crashed one go on.
-std::string
-FindSuccessor(const std::string& aFolder)
+/// Reads all results of the batch from the start. Returns them by position, as
+/// many as come until the time is up.
+std::vector<std::string>
+ReadResults(const std::string& aFront,
+            const std::string& aBatch,
+            int64_t aDeadlineMs)
 {
-  std::ifstream record(aFolder + "/record.txt");
-  std::map<std::string, int> resumed;
-  std::string line;
-  while (std::getline(record, line)) {
-    std::stringstream words(line);
-    std::string time, kind, worker, verb, id, from, word;
-    int event = 0;
-    words >> time >> kind >> worker >> verb >> id >> from >> word >> event;
-    if (kind == "worker" && verb == "runs" && event > 1) {
-      resumed[worker] += 1;
-    }
-  }
-  const auto most = std::max_element(
-    resumed.begin(), resumed.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second < aRight.second;
-    });
-  return most == resumed.end() ? "i-engine-1" : most->first;
-}
-
-/// Reads the results and returns how many completed ones are not the item's
-/// whole output.
-int
-CheckResults(const std::string& aFront, int64_t aDeadlineMs, size_t& aListed)
-{
-  int broken = 0;
-  size_t completed = 0;
-  while (aListed < kItems && NowMs() < aDeadlineMs) {
-    Message response;
-    const int status =
+  std::vector<std::string> results;
+  std::map<int, int> otherAnswers;
+  while (results.size() < kItems && NowMs() < aDeadlineMs) {
+    const Message response =
       CallFront(aFront,
-                "GET /heatherdeal/lots/" + std::string(kBatch) +
-                  "?after=" + std::to_string(aListed) +
-                  " HTTP/1.1\r\nHost: h.example\r\n"
-                  "Wait-Ms: 1000\r\n\r\n",
-                response);
-    if (status != 200) {
-      SleepMs(300);
+                "GET /heatherdeal/lots/" + aBatch +
+                  "?after=" + std::to_string(results.size()) +
+                  " HTTP/1.1\r\nHost: " + std::string(kHostName) +
+                  "\r\nWait-Ms: 500\r\n\r\n");
+    if (!response.m_isComplete || response.Status() != 200) {
+      otherAnswers[response.Status()] += 1;
+      SleepMs(500);
       continue;
     }
     const json::value page = json::parse(response.m_body);
     for (const json::value& result : page.at("results").as_array()) {
-      aListed += 1;
-      const std::string id(result.at("id").as_string());
-      const std::string state(result.at("state").as_string());
-      const std::string output(result.at("output").as_string());
-      const int item = static_cast<int>(
-        std::strtol(id.substr(id.size() - 2).c_str(), nullptr, 16));
-      const bool isWhole = output == ExpectedText(item);
-      Record("requester reads " + id + " " + state + " bytes " +
-             std::to_string(output.size()) + " of " +
-             std::to_string(ExpectedText(item).size()) +
-             (state == "completed" && !isWhole ? " NOT WHOLE" : ""));
-      completed += state == "completed" ? 1 : 0;
-      broken += state == "completed" && !isWhole ? 1 : 0;
+      results.push_back(json::serialize(result));
     }
   }
-  Record("summary: " + std::to_string(completed) + " completed, " +
-         std::to_string(broken) + " of them not the whole output");
-  return broken;
+  std::string line = "requester reads " + aBatch + ": " +
+                     std::to_string(results.size()) + " of " +
+                     std::to_string(kItems) + " results";
+  for (const auto& [status, count] : otherAnswers) {
+    line +=
+      ", " + std::to_string(count) + " x status " + std::to_string(status);
+  }
+  Record(line);
+  return results;
 }
 
 } // namespace
@@ -222,32 +177,34 @@
   if (aArgc > 2 && std::string(aArgv[1]) == "worker") {
     return RunWorker(aArgc, aArgv);
   }
+  const Batch batches[] = {
+    { "b100000000000000", "plain", false },
+    { "b200000000000000", "an item's output is empty", true },
+  };
   Deployment deployment(aArgv[1]);
   deployment.TheStore().Put("config", "main", MakeConfiguration());
-  const json::value engine{ { "zone", "zone-1" },
-                            { "version", "v1" },
-                            { "slots", kSlots },
-                            { "stage", "both" },
-                            { "models",
-                              json::array{
-                                { { "name", "model-1" },
-                                  { "version", 1 },
-                                  { "adapters", json::array() } } } } };
   for (int i = 0; i < kEngines; ++i) {
     deployment.StartWorker("i-engine-" + std::to_string(i),
                            "engines",
                            deployment.Address(30 + i),
-                           { "unframed", "first=300", "gap=40", "bytes=24" },
-                           engine);
+                           { "first=50", "gap=20", "bytes=24" },
+                           MakeEngineEntry("zone-1", 8));
   }
   deployment.StartWorker(
     "i-plain",
     "plain",
-    deployment.Address(40),
+    deployment.Address(50),
     { "plain" },
     { { "zone", "zone-1" }, { "version", "v1" }, { "slots", 12 } });
-  deployment.StartHost({ "store-1", deployment.Address(20), "zone-1", false });
-  deployment.StartHost({ "store-2", deployment.Address(21), "zone-2", false });
+  const auto startStores = [&] {
+    for (int i = 0; i < kStores; ++i) {
+      deployment.StartHost({ "store-" + std::to_string(i),
+                             deployment.Address(20 + i),
+                             "zone-" + std::to_string(i),
+                             false });
+    }
+  };
+  startStores();
   const std::string front = deployment.Address(10);
   deployment.StartHost({ "front-1", front, "zone-1", true });
   if (!deployment.AwaitReady(front, 15000)) {
@@ -255,36 +212,46 @@
     deployment.Finish(2);
   }
   SleepMs(5000);
-  Message response;
-  int status = 0;
-  for (int i = 0; i < 10 && status != 202; ++i) {
-    status = CallFront(front, MakeSubmission(), response);
-    Record("requester submits, answer " + std::to_string(status));
-    SleepMs(status == 202 ? 0 : 500);
-  }
-  if (status != 202) {
-    deployment.Finish(2);
+  std::map<std::string, std::vector<std::string>> before;
+  for (const Batch& batch : batches) {
+    int status = 0;
+    for (int i = 0; i < 10 && status != 202; ++i) {
+      status = CallFront(front, MakeSubmission(batch)).Status();
+      Record("requester submits " + batch.m_id + " (" + batch.m_what +
+             "), answer " + std::to_string(status));
+      SleepMs(status == 202 ? 0 : 500);
+    }
+    before[batch.m_id] = ReadResults(front, batch.m_id, NowMs() + kFirstReadMs);
+    if (status != 202 || before[batch.m_id].size() < kItems) {
+      std::fprintf(stderr,
+                   "%s is not done: answer %d, %zu results\n",
+                   batch.m_id.c_str(),
+                   status,
+                   before[batch.m_id].size());
+      deployment.Finish(2);
+    }
   }
   if (IsTroubleWanted()) {
-    SleepMs(700);
-    Record("trouble: i-engine-0 crashes");
-    deployment.Host("i-engine-0").Kill();
-    SleepMs(250);
-    const std::string second = FindSuccessor(std::string(aArgv[1]));
-    Record("trouble: " + second + " crashes");
-    deployment.Host(second).Kill();
-    // Their entries go after three reports of silence.
-    SleepMs(3600);
-    deployment.TheStore().Remove("servers", "i-engine-0");
-    deployment.TheStore().Remove("servers", second);
+    Record("trouble: the processes of all store machines are killed");
+    for (int i = 0; i < kStores; ++i) {
+      deployment.Host("store-" + std::to_string(i)).Kill();
+    }
+    SleepMs(500);
+    Record("the platform starts them again");
+    startStores();
   }
-  size_t listed = 0;
-  const int broken = CheckResults(front, NowMs() + 60000, listed);
-  if (listed < kItems) {
-    std::fprintf(stderr, "only %zu results were listed\n", listed);
-    deployment.Finish(2);
+  const int64_t limit = NowMs() + kSecondReadMs;
+  int broken = 0;
+  for (const Batch& batch : batches) {
+    const bool isSame =
+      ReadResults(front, batch.m_id, limit) == before[batch.m_id];
+    Record(batch.m_id + " (" + batch.m_what +
+           "): " + (isSame ? "the same results" : "NOT READABLE AS BEFORE"));
+    std::printf("%s (%s): %s\n",
+                batch.m_id.c_str(),
+                batch.m_what.c_str(),
+                isSame ? "read again" : "can't be read again");
+    broken += isSame ? 0 : 1;
   }
-  std::printf(
-    "%d of %d results are not the item's whole output\n", broken, kItems);
   deployment.Finish(broken > 0 ? 1 : 0);
 }
--- a/review/standin-2/worker.cpp
+++ b/review/standin-2/worker.cpp
@@ -151,6 +151,10 @@
 std::string
 EventData(const std::string& aSeed, int aEvent, int aBytes)
 {
+  // A text that ends at once: its only event holds no characters.
+  if (aSeed.rfind("empty", 0) == 0) {
+    return "";
+  }
   std::string data = aSeed + "-" + std::to_string(aEvent) + "-";
   while (static_cast<int>(data.size()) < aBytes) {
     data += static_cast<char>('a' + (data.size() + aEvent) % 26);
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -153,6 +153,27 @@
   return found;
 }
 
+std::map<std::string, int64_t>
+FindLastWork(const std::string& aFolder)
+{
+  std::ifstream record(aFolder + "/record.txt");
+  std::string line;
+  std::map<std::string, int64_t> found;
+  while (std::getline(record, line)) {
+    std::stringstream words(line);
+    int64_t time = 0;
+    std::string kind;
+    std::string worker;
+    std::string verb;
+    std::string id;
+    words >> time >> kind >> worker >> verb >> id;
+    if (kind == "worker" && (verb == "runs" || verb == "ends")) {
+      found[id] = time;
+    }
+  }
+  return found;
+}
+
 std::string
 Message::Header(const std::string& aName) const
 {
@@ -613,7 +634,7 @@
 bool
 Process::HasEnded()
 {
-  if (m_id > 0 && ::waitpid(m_id, nullptr, WNOHANG) == m_id) {
+  if (m_id > 0 && ::waitpid(m_id, &m_endStatus, WNOHANG) == m_id) {
     m_id = 0;
   }
   return m_id == 0;
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -40,6 +40,11 @@
 std::string
 FindWorkerOf(const std::string& aFolder, const std::string& aRequestId);
 
+/// Returns when a worker last had each request, by the record in the folder:
+/// the start of its last run, or its end if it has ended.
+std::map<std::string, int64_t>
+FindLastWork(const std::string& aFolder);
+
 struct Message
 {
   std::string m_startLine;
@@ -145,9 +150,12 @@
   void Kill();
   /// True if it has ended by itself or by a signal.
   bool HasEnded();
+  /// Returns how it has ended, as waitpid tells.
+  int EndStatus() const { return m_endStatus; }
 
 private:
   int m_id = 0;
+  int m_endStatus = 0;
 };
 
 /// Fills in a template of settings as DEPLOY.md tells.
