--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,3 +17,8 @@
   g++ -std=c++20 -O1 -Wall -Wextra -Ireview/standin-2 "$source" \
     "${objects[@]}" -o "target/review-2/case$number" -pthread
 done
+# What is no case; REPORT-2.md tells why.
+for source in review/more-2/*.cpp; do
+  g++ -std=c++20 -O1 -Wall -Wextra -Ireview/standin-2 "$source" \
+    "${objects[@]}" -o "target/review-2/$(basename "$source" .cpp)" -pthread
+done
