Review case 7: one unreadable entry hides all changes of the workers

Rule: LOST (batch submissions). A step runs out of time while one of its items, which no worker has finished or failed, has been at no worker for 5 s.

Order of events: another writer's entry in the list of workers holds bytes that are no UTF-8. The list can't be parsed any more. The workers of a service are replaced, as planned; the new ones are never used, and items of a batch that wait when the last old one leaves are at no worker.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,17 +1,16 @@
-// A batch runs on eight workers whose answers have no length. One crashes in
-// the middle of its texts, and a quarter of a second later a second one, at
-// which texts of the first go on.
+// Another writer's entry in the list of workers holds bytes that can't be read.
+// Then the workers of a service are replaced, as planned, while a batch runs.
 
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
+#include <cstdlib>
 #include <map>
-#include <sstream>
 #include <string>
 
 #include "boost/json/parse.hpp"
 #include "boost/json/serialize.hpp"
 
+#include "deployment.h"
 #include "worker.h"
 #include "world.h"
 
@@ -19,87 +18,80 @@
 
 using namespace review;
 
-constexpr int kEngines = 8;
+constexpr int kEnginesOfService = 8;
 constexpr int kSlots = 8;
-// One slot of each worker stays free.
-constexpr int kItems = kEngines * (kSlots - 1);
-constexpr int kEvents = 24;
+constexpr int kItems = 48;
+constexpr int kEvents = 100;
 constexpr int kEventBytes = 24;
-constexpr std::string_view kBatch = "b0000000000000c6";
+constexpr std::string_view kBatch = "b0000000000000ca";
+// The time limit of the sheet's trainer.
+constexpr int64_t kTimeLimitMs = 12'000;
+// An item must not have been at no worker for so long.
+constexpr int64_t kMaxIdleMs = 5'000;
+// A worker serves for drainMs after its report and a little longer.
+constexpr int64_t kDrainMs = 2'000;
+constexpr int64_t kLongerMs = 1'500;
+constexpr int kReplacedAtOnce = 3;
 
 std::string
 ItemId(int aItem)
 {
   char id[32];
-  std::snprintf(id, sizeof id, "e0000000000000%02x", aItem);
+  std::snprintf(id, sizeof id, "ea000000000000%02x", aItem);
   return id;
 }
 
-std::string
-Seed(int aItem)
-{
-  return "5eed" + std::to_string(aItem) + ":64";
-}
-
-std::string
-ExpectedText(int aItem)
+json::value
+MakeEngines(const char* aName)
 {
-  std::string text;
-  for (int event = 1; event <= kEvents; ++event) {
-    text +=
-      (event == 1 ? "" : "\n") + EventData(Seed(aItem), event, kEventBytes);
-  }
-  return text;
+  return { { "name", aName },
+           { "healthPath", "/health" },
+           { "maxConns", 140 },
+           { "protocol", "h1" },
+           { "tls", false },
+           { "engine",
+             { { "slots", kSlots },
+               { "kvCapacity", 100000 },
+               { "models", json::array{ { { "name", "model-1" } } } } } } };
 }
 
 json::value
 MakeConfiguration()
 {
-  return {
-    { "version", 7 },
-    { "routes",
-      json::array{ { { "name", "rewards" },
-                     { "host", "h.example" },
-                     { "pathPrefix", "/reward/" },
-                     { "kind", "safe" },
-                     { "timeoutMs", 2000 },
-                     { "sloMs", 150 },
-                     { "priority", 2 },
-                     { "service", "plain" },
-                     { "maxAttempts", 3 } },
-                   { { "name", "texts" },
-                     { "host", "h.example" },
-                     { "pathPrefix", "/texts/" },
-                     { "kind", "rollout" },
-                     { "timeoutMs", 10000 },
-                     { "sloMs", 400 },
-                     { "runTargetMs", 7500 },
-                     { "maxQueueS", 60 },
-                     { "priority", 1 },
-                     { "service", "engines" },
-                     { "maxAttempts", 3 } } } },
-    { "services",
-      json::array{
-        { { "name", "plain" },
-          { "healthPath", "/health" },
-          { "maxConns", 110 },
-          { "protocol", "h1" },
-          { "tls", false } },
-        { { "name", "engines" },
-          { "healthPath", "/health" },
-          { "maxConns", 140 },
-          { "protocol", "h1" },
-          { "tls", false },
-          { "engine",
-            { { "slots", kSlots },
-              { "kvCapacity", 100000 },
-              { "models", json::array{ { { "name", "model-1" } } } } } } } } },
-    { "limits",
-      { { "maxHeaderBytes", 16384 },
-        { "maxBodyBytes", 33554432 },
-        { "headerTimeoutMs", 3000 },
-        { "idleTimeoutMs", 15000 } } }
-  };
+  return { { "version", 7 },
+           { "routes",
+             json::array{ { { "name", "texts" },
+                            { "host", kHostName },
+                            { "pathPrefix", "/texts/" },
+                            { "kind", "rollout" },
+                            { "timeoutMs", 10000 },
+                            { "sloMs", 400 },
+                            { "runTargetMs", 7500 },
+                            { "maxQueueS", 40 },
+                            { "priority", 1 },
+                            { "service", "engines" },
+                            { "maxAttempts", 3 } },
+                          { { "name", "rewards" },
+                            { "host", kHostName },
+                            { "pathPrefix", "/reward/" },
+                            { "kind", "safe" },
+                            { "timeoutMs", 2000 },
+                            { "sloMs", 150 },
+                            { "priority", 2 },
+                            { "service", "plain" },
+                            { "maxAttempts", 3 } } } },
+           { "services",
+             json::array{ { { "name", "plain" },
+                            { "healthPath", "/health" },
+                            { "maxConns", 110 },
+                            { "protocol", "h1" },
+                            { "tls", false } },
+                          MakeEngines("engines") } },
+           { "limits",
+             { { "maxHeaderBytes", 16384 },
+               { "maxBodyBytes", 33554432 },
+               { "headerTimeoutMs", 3000 },
+               { "idleTimeoutMs", 15000 } } } };
 }
 
 std::string
@@ -107,22 +99,21 @@
 {
   json::array items;
   for (int item = 0; item < kItems; ++item) {
-    char scorer[32];
-    std::snprintf(scorer, sizeof scorer, "40000000000000%02x", item);
-    items.push_back({ { "id", ItemId(item) },
-                      { "path", "/texts/" + std::to_string(item) },
-                      { "headers",
-                        { { "Model", "model-1" },
-                          { "Token-Counts", "64," + std::to_string(kEvents) },
-                          { "Prompt-Prefix", Seed(item) } } },
-                      { "body", "q83vEjRWeJA=" },
-                      { "tokens", 64 + kEvents },
-                      { "group", "g" + std::to_string(item / 4) },
-                      { "scorer",
-                        { { "id", scorer },
-                          { "host", "h.example" },
-                          { "path", "/reward/1" },
-                          { "body", "3q2+7w==" } } } });
+    items.push_back(
+      { { "id", ItemId(item) },
+        { "path", "/texts/" + std::to_string(item) },
+        { "headers",
+          { { "Model", "model-1" },
+            { "Token-Counts", "64," + std::to_string(kEvents) },
+            { "Prompt-Prefix", "5eed" + std::to_string(item) + ":64" } } },
+        { "body", "q83vEjRWeJA=" },
+        { "tokens", 64 + kEvents },
+        { "group", "g" + std::to_string(item / 4) },
+        { "scorer",
+          { { "id", "49" + ItemId(item).substr(2) },
+            { "host", kHostName },
+            { "path", "/reward/1" },
+            { "body", "3q2+7w==" } } } });
   }
   const json::value body{ { "step", 0 },
                           { "model", "model-1" },
@@ -130,88 +121,46 @@
                           { "desiredCount", kItems / 4 },
                           { "items", std::move(items) } };
   const std::string text = json::serialize(body);
-  return "POST /texts/step HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
-         std::string(kBatch) +
+  return "POST /texts/step HTTP/1.1\r\nHost: " + std::string(kHostName) +
+         "\r\nRequest-Id: " + std::string(kBatch) +
          "\r\nContent-Type: application/json\r\nContent-Length: " +
          std::to_string(text.size()) + "\r\n\r\n" + text;
 }
 
-int
-CallFront(const std::string& aFront,
-          const std::string& aRequest,
-          Message& aResponse)
+Message
+CallFront(const std::string& aFront, const std::string& aRequest)
 {
   const auto channel = Connect(aFront, kFrontPort, 1000);
   if (!channel || !channel->Send(aRequest)) {
-    return 0;
-  }
-  aResponse = channel->Read(NowMs() + 6000);
-  return aResponse.m_isComplete ? aResponse.Status() : 0;
-}
-
-/// Returns the worker at which most texts of the crashed one go on.
-std::string
-FindSuccessor(const std::string& aFolder)
-{
-  std::ifstream record(aFolder + "/record.txt");
-  std::map<std::string, int> resumed;
-  std::string line;
-  while (std::getline(record, line)) {
-    std::stringstream words(line);
-    std::string time, kind, worker, verb, id, from, word;
-    int event = 0;
-    words >> time >> kind >> worker >> verb >> id >> from >> word >> event;
-    if (kind == "worker" && verb == "runs" && event > 1) {
-      resumed[worker] += 1;
-    }
+    return {};
   }
-  const auto most = std::max_element(
-    resumed.begin(), resumed.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second < aRight.second;
-    });
-  return most == resumed.end() ? "i-engine-1" : most->first;
+  return channel->Read(NowMs() + 6000);
 }
 
-/// Reads the results and returns how many completed ones are not the item's
-/// whole output.
-int
-CheckResults(const std::string& aFront, int64_t aDeadlineMs, size_t& aListed)
+/// Reads results until all are listed or the time is up, and marks the items.
+void
+ReadResults(const std::string& aFront,
+            int64_t aDeadlineMs,
+            std::map<std::string, std::string>& aListed)
 {
-  int broken = 0;
-  size_t completed = 0;
-  while (aListed < kItems && NowMs() < aDeadlineMs) {
-    Message response;
-    const int status =
+  while (aListed.size() < kItems && NowMs() < aDeadlineMs) {
+    const Message response =
       CallFront(aFront,
                 "GET /heatherdeal/lots/" + std::string(kBatch) +
-                  "?after=" + std::to_string(aListed) +
-                  " HTTP/1.1\r\nHost: h.example\r\n"
-                  "Wait-Ms: 1000\r\n\r\n",
-                response);
-    if (status != 200) {
-      SleepMs(300);
+                  "?after=" + std::to_string(aListed.size()) +
+                  " HTTP/1.1\r\nHost: " + std::string(kHostName) +
+                  "\r\nWait-Ms: 500\r\n\r\n");
+    if (!response.m_isComplete || response.Status() != 200) {
+      SleepMs(200);
       continue;
     }
     const json::value page = json::parse(response.m_body);
     for (const json::value& result : page.at("results").as_array()) {
-      aListed += 1;
       const std::string id(result.at("id").as_string());
-      const std::string state(result.at("state").as_string());
-      const std::string output(result.at("output").as_string());
-      const int item = static_cast<int>(
-        std::strtol(id.substr(id.size() - 2).c_str(), nullptr, 16));
-      const bool isWhole = output == ExpectedText(item);
-      Record("requester reads " + id + " " + state + " bytes " +
-             std::to_string(output.size()) + " of " +
-             std::to_string(ExpectedText(item).size()) +
-             (state == "completed" && !isWhole ? " NOT WHOLE" : ""));
-      completed += state == "completed" ? 1 : 0;
-      broken += state == "completed" && !isWhole ? 1 : 0;
+      aListed[id] = std::string(result.at("state").as_string());
+      Record("requester reads " + id + " " + aListed[id]);
     }
   }
-  Record("summary: " + std::to_string(completed) + " completed, " +
-         std::to_string(broken) + " of them not the whole output");
-  return broken;
 }
 
 } // namespace
@@ -224,21 +173,15 @@
   }
   Deployment deployment(aArgv[1]);
   deployment.TheStore().Put("config", "main", MakeConfiguration());
-  const json::value engine{ { "zone", "zone-1" },
-                            { "version", "v1" },
-                            { "slots", kSlots },
-                            { "stage", "both" },
-                            { "models",
-                              json::array{
-                                { { "name", "model-1" },
-                                  { "version", 1 },
-                                  { "adapters", json::array() } } } } };
-  for (int i = 0; i < kEngines; ++i) {
-    deployment.StartWorker("i-engine-" + std::to_string(i),
+  const auto startEngine = [&](const char* aKind, int aNumber, int aAddress) {
+    deployment.StartWorker(aKind + std::to_string(aNumber),
                            "engines",
-                           deployment.Address(30 + i),
-                           { "unframed", "first=300", "gap=40", "bytes=24" },
-                           engine);
+                           deployment.Address(aAddress + aNumber),
+                           { "first=100", "gap=40", "bytes=24" },
+                           MakeEngineEntry("zone-1", kSlots));
+  };
+  for (int i = 0; i < kEnginesOfService; ++i) {
+    startEngine("i-old", i, 30);
   }
   deployment.StartWorker(
     "i-plain",
@@ -255,36 +198,74 @@
     deployment.Finish(2);
   }
   SleepMs(5000);
-  Message response;
+  if (IsTroubleWanted()) {
+    Record("trouble: another writer's entry holds bytes that can't be read");
+    deployment.TheStore().Put(
+      "servers", "i-foreign", { { "service", "engines\xff\xfe" } });
+  }
+  // Replaces the workers from aFrom on; the new ones start first.
+  const auto replace = [&](int aFrom) {
+    const int to = std::min(aFrom + kReplacedAtOnce, kEnginesOfService);
+    for (int i = aFrom; i < to; ++i) {
+      Record("operator replaces i-old" + std::to_string(i));
+      startEngine("i-new", i, 60);
+      json::value entry = MakeEngineEntry("zone-1", kSlots);
+      json::object& fields = entry.as_object();
+      fields["service"] = "engines";
+      fields["addr"] = deployment.Address(30 + i) + ":8080";
+      fields["state"] = "draining";
+      fields["sequence"] = 2;
+      deployment.TheStore().Put(
+        "servers", "i-old" + std::to_string(i), std::move(entry));
+    }
+    SleepMs(kDrainMs + kLongerMs);
+    for (int i = aFrom; i < to; ++i) {
+      Record("i-old" + std::to_string(i) + " exits");
+      deployment.Host("i-old" + std::to_string(i)).Kill();
+      deployment.TheStore().Remove("servers", "i-old" + std::to_string(i));
+    }
+  };
+  replace(0);
+  replace(kReplacedAtOnce);
   int status = 0;
   for (int i = 0; i < 10 && status != 202; ++i) {
-    status = CallFront(front, MakeSubmission(), response);
+    status = CallFront(front, MakeSubmission()).Status();
     Record("requester submits, answer " + std::to_string(status));
     SleepMs(status == 202 ? 0 : 500);
   }
   if (status != 202) {
     deployment.Finish(2);
   }
-  if (IsTroubleWanted()) {
-    SleepMs(700);
-    Record("trouble: i-engine-0 crashes");
-    deployment.Host("i-engine-0").Kill();
-    SleepMs(250);
-    const std::string second = FindSuccessor(std::string(aArgv[1]));
-    Record("trouble: " + second + " crashes");
-    deployment.Host(second).Kill();
-    // Their entries go after three reports of silence.
-    SleepMs(3600);
-    deployment.TheStore().Remove("servers", "i-engine-0");
-    deployment.TheStore().Remove("servers", second);
-  }
-  size_t listed = 0;
-  const int broken = CheckResults(front, NowMs() + 60000, listed);
-  if (listed < kItems) {
-    std::fprintf(stderr, "only %zu results were listed\n", listed);
-    deployment.Finish(2);
+  const int64_t submittedAt = NowMs();
+  SleepMs(1500);
+  replace(2 * kReplacedAtOnce);
+  // The state is steady: planned work is no impairment.
+  const int64_t replacedAt = NowMs();
+  std::map<std::string, std::string> listed;
+  ReadResults(front, submittedAt + kTimeLimitMs, listed);
+  Record("the time of the step is up: " + std::to_string(listed.size()) +
+         " of " + std::to_string(kItems) + " items are listed");
+  const std::map<std::string, int64_t> lastWork = FindLastWork(aArgv[1]);
+  int waiting = 0;
+  for (int item = 0; item < kItems; ++item) {
+    if (listed.contains(ItemId(item))) {
+      continue;
+    }
+    // No worker has had the item since, in steady state.
+    const int64_t since =
+      std::max(replacedAt,
+               lastWork.contains(ItemId(item)) ? lastWork.at(ItemId(item)) : 0);
+    const int64_t idleMs = submittedAt + kTimeLimitMs - since;
+    Record("item " + ItemId(item) +
+           " isn't listed and has been at no worker "
+           "for " +
+           std::to_string(idleMs) + " ms of steady state");
+    waiting += idleMs >= kMaxIdleMs ? 1 : 0;
   }
-  std::printf(
-    "%d of %d results are not the item's whole output\n", broken, kItems);
-  deployment.Finish(broken > 0 ? 1 : 0);
+  std::printf("%d of %d items were at no worker for %lld s or more when the "
+              "step ran out of time\n",
+              waiting,
+              kItems,
+              static_cast<long long>(kMaxIdleMs / 1000));
+  deployment.Finish(waiting > 0 ? 1 : 0);
 }
