Review case 10: a batch whose end the store did not take runs again

Rule: UNASKED (batch submissions). An item that reaches a worker later than cancelMs after the ack of its batch's end runs; without an ack, the end counts as acknowledged after ackMs of steady state.

Order of events: a trainer ends its batch while the store is down, and gets 503 twice. The owner stops the items, but only its memory knows of the end. When the hosts that own batches are stopped and started in turn later, as planned, each new owner runs the whole batch again.

--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -174,6 +174,27 @@
   return found;
 }
 
+std::vector<std::pair<std::string, int64_t>>
+FindStarts(const std::string& aFolder)
+{
+  std::ifstream record(aFolder + "/record.txt");
+  std::string line;
+  std::vector<std::pair<std::string, int64_t>> starts;
+  while (std::getline(record, line)) {
+    std::stringstream words(line);
+    int64_t time = 0;
+    std::string kind;
+    std::string worker;
+    std::string verb;
+    std::string id;
+    words >> time >> kind >> worker >> verb >> id;
+    if (kind == "worker" && verb == "runs") {
+      starts.emplace_back(id, time);
+    }
+  }
+  return starts;
+}
+
 std::string
 Message::Header(const std::string& aName) const
 {
@@ -452,6 +473,14 @@
   m_changed.notify_all();
 }
 
+void
+Store::SetUnavailable(bool aIsUnavailable)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_isUnavailable = aIsUnavailable;
+  m_changed.notify_all();
+}
+
 std::string
 Store::Answer(const Message& aRequest)
 {
@@ -475,6 +504,9 @@
     { "Content-Type", "application/json" }
   };
   std::unique_lock lock(m_mutex);
+  if (m_isUnavailable) {
+    return MakeResponse(503, headers, "{}");
+  }
   if (aRequest.Method() == "DELETE") {
     Object& object = m_kinds[kind][name];
     if (object.m_revision == 0 || object.m_isDeleted) {
@@ -502,9 +534,12 @@
                              { "object", ToJson(key, object) } });
         }
       }
-      return !events.empty();
+      return !events.empty() || m_isUnavailable;
     };
     m_changed.wait_for(lock, wait, collect);
+    if (m_isUnavailable) {
+      return MakeResponse(503, headers, "{}");
+    }
     return MakeResponse(
       200,
       headers,
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -45,6 +45,11 @@
 std::map<std::string, int64_t>
 FindLastWork(const std::string& aFolder);
 
+/// Returns each start of a request at a worker with its time, by the record in
+/// the folder.
+std::vector<std::pair<std::string, int64_t>>
+FindStarts(const std::string& aFolder);
+
 struct Message
 {
   std::string m_startLine;
@@ -115,6 +120,8 @@
            json::value aSpec,
            int64_t aBorn = 0);
   void Remove(const std::string& aKind, const std::string& aName);
+  /// While true, each call is answered with 503.
+  void SetUnavailable(bool aIsUnavailable);
 
 private:
   struct Object
@@ -136,6 +143,7 @@
   std::condition_variable m_changed;
   std::map<std::string, std::map<std::string, Object>> m_kinds;
   uint64_t m_revision = 10;
+  bool m_isUnavailable = false;
 };
 
 /// A process that the case has started.
