Read back stored batches that hold empty strings

Cause: the codec of stored batches wrote any string, and read it with SettingsReader::Text, which refuses empty ones. The same held for an empty header value, path, scoring path and software version, and for an item's or batch's other strings. An empty text or software version in a checkpoint lost the progress of the whole batch. A negative weight version would have thrown.

Change: SettingsReader::AnyText reads a required string that may be empty; the codec reads all of its strings with it. Whether a submission may hold them is decided when it is accepted, not when it is loaded.

--- a/src/batches/internal/batchjson.cpp
+++ b/src/batches/internal/batchjson.cpp
@@ -69,9 +69,9 @@
 ParseReward(kernel::SettingsReader& aReader)
 {
   RewardRequest reward;
-  reward.m_id = aReader.Text("id");
-  reward.m_host = aReader.Text("host");
-  reward.m_path = aReader.Text("path");
+  reward.m_id = aReader.AnyText("id");
+  reward.m_host = aReader.AnyText("host");
+  reward.m_path = aReader.AnyText("path");
   reward.m_body = ReadBase64(aReader, "body");
   return reward;
 }
@@ -80,12 +80,13 @@
 ParseItem(kernel::SettingsReader& aReader)
 {
   BatchItem item;
-  item.m_id.m_value = aReader.Text("id");
-  item.m_path = aReader.Text("path");
+  item.m_id.m_value = aReader.AnyText("id");
+  item.m_path = aReader.AnyText("path");
   aReader.ForEach(
     "headers", [&](const json::value& aValue, std::string_view aPath) {
       kernel::SettingsReader element(aValue, aPath, aReader.Errors());
-      item.m_headers.push_back({ element.Text("name"), element.Text("value") });
+      item.m_headers.push_back(
+        { element.AnyText("name"), element.AnyText("value") });
     });
   item.m_body = ReadBase64(aReader, "body");
   item.m_group = aReader.TextOr("group", "");
@@ -115,12 +116,14 @@
   std::vector<core::WeightVersion> versions;
   aReader.ForEach(
     "versions", [&](const json::value& aValue, std::string_view aPath) {
-      if (!aValue.is_int64() && !aValue.is_uint64()) {
+      boost::system::error_code error;
+      const auto number = aValue.to_number<uint64_t>(error);
+      if (aValue.is_double() || error) {
         aReader.Errors().m_errors.push_back(
           { std::string(aPath), "(value)", "a weight version number" });
         return;
       }
-      versions.push_back({ aValue.to_number<uint64_t>() });
+      versions.push_back({ number });
     });
   return versions;
 }
@@ -143,16 +146,16 @@
 ParsePartialText(kernel::SettingsReader& aReader)
 {
   PartialText text;
-  text.m_item.m_value = aReader.Text("item");
-  text.m_text = aReader.Text("text");
+  text.m_item.m_value = aReader.AnyText("item");
+  text.m_text = aReader.AnyText("text");
   text.m_lastEvent =
     static_cast<uint64_t>(aReader.Integer("last_event", kNonNegative));
   text.m_versions = ParseVersions(aReader);
   if (const json::value* software = aReader.OptionalValue("software")) {
     kernel::SettingsReader element(
       *software, aReader.PathOf("software"), aReader.Errors());
-    text.m_software = { { element.Text("service") },
-                        { element.Text("version") } };
+    text.m_software = { { element.AnyText("service") },
+                        { element.AnyText("version") } };
   }
   return text;
 }
@@ -176,13 +179,13 @@
 ParseResult(kernel::SettingsReader& aReader)
 {
   ItemResult result;
-  result.m_item.m_value = aReader.Text("item");
+  result.m_item.m_value = aReader.AnyText("item");
   if (aReader.FlagOr("lost", false)) {
     result.m_outcome = Lost{};
     return result;
   }
   Completed completed;
-  completed.m_text = aReader.Text("text");
+  completed.m_text = aReader.AnyText("text");
   completed.m_score = aReader.TextOr("score", "");
   completed.m_versions = ParseVersions(aReader);
   result.m_outcome = std::move(completed);
@@ -217,9 +220,9 @@
   return kernel::ParseMessage<Submission>(
     aText, "batch", [](kernel::SettingsReader& aReader) {
       Submission submission;
-      submission.m_id.m_value = aReader.Text("id");
-      submission.m_host = aReader.Text("host");
-      submission.m_path = aReader.Text("path");
+      submission.m_id.m_value = aReader.AnyText("id");
+      submission.m_host = aReader.AnyText("host");
+      submission.m_path = aReader.AnyText("path");
       submission.m_customer.m_value = aReader.TextOr("customer", "");
       submission.m_weights = aReader.TextOr("weights", "");
       submission.m_oldestAllowedVersion.m_number =
--- a/src/kernel/internal/settingsreader.cpp
+++ b/src/kernel/internal/settingsreader.cpp
@@ -109,6 +109,16 @@
   return std::string(value->get_string());
 }
 
+std::string
+SettingsReader::AnyText(std::string_view aName)
+{
+  if (OptionalValue(aName) == nullptr) {
+    AddMissingError(aName, "a string");
+    return {};
+  }
+  return TextOr(aName, "");
+}
+
 std::string
 SettingsReader::TextOr(std::string_view aName, std::string_view aDefault)
 {
--- a/src/kernel/settingsreader.h
+++ b/src/kernel/settingsreader.h
@@ -48,6 +48,8 @@
 
   /// Reads a required string, which may not be empty.
   std::string Text(std::string_view aName);
+  /// Reads a required string of any length, also an empty one.
+  std::string AnyText(std::string_view aName);
   std::string TextOr(std::string_view aName, std::string_view aDefault);
   /// Reads a required integer.
   int64_t Integer(std::string_view aName, Range aRange);
