Keep texts and proofs that are not UTF-8 out of stored results

What callers saw: a batch with one item whose text holds bytes that are not UTF-8 listed none of its results, without any disruption.

Cause: results are stored and listed as JSON, whose strings are UTF-8. The bytes were written as they came; the store's answer, the next owner and the trainer can't parse them. A scorer's proof, which is a header, has the same way.

Change: an event whose data is not UTF-8 makes its run unusable, as one that sends too much does. Replacing the bytes was ruled out: a completed text has to be the engine's whole output. Until now an unusable run was repeated without limit, for as long as the batch lasted. A proof that is not UTF-8 is no score; the request is sent again.

--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -53,12 +53,21 @@
   uint64_t m_runNumber = 0;
 };
 
+/// No engine has made a text that a result can hold. The item starts no more,
+/// and is lost at the item deadline of the batch.
+struct ItemUnusable
+{};
+
 /// The result is final, but possibly not stored yet.
 struct ItemDone
 {};
 
-using ItemPhase = std::
-  variant<ItemWaiting, ItemRunning, ItemAwaitingScore, ItemScoring, ItemDone>;
+using ItemPhase = std::variant<ItemWaiting,
+                               ItemRunning,
+                               ItemAwaitingScore,
+                               ItemScoring,
+                               ItemUnusable,
+                               ItemDone>;
 
 /// The progress of one item.
 struct ItemState
@@ -75,6 +84,8 @@
   /// The number of events that are in a stored checkpoint.
   uint64_t m_checkpointedEvents = 0;
   uint32_t m_failedRuns = 0;
+  /// The number of runs whose text no result can hold.
+  uint32_t m_unusableRuns = 0;
   uint32_t m_failedScores = 0;
   /// The engine that ran the item last; a retry prefers another one.
   core::UpstreamId m_lastEngine;
@@ -163,7 +174,7 @@
 struct RunEndUnconfirmed
 {};
 
-/// The engine sent more than a text may hold.
+/// The engine sent more than a text may hold, or bytes that are not UTF-8.
 struct RunUnusable
 {};
 
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -145,7 +145,14 @@
               const RunUnusable&,
               core::Instant aNow)
 {
-  RestartItem(aRun.m_items[aItem], aNow + kFailureRetryDelay);
+  ItemState& item = aRun.m_items[aItem];
+  item.m_unusableRuns += 1;
+  RestartItem(item, aNow + kFailureRetryDelay);
+  // Another engine may make a text that is usable. An item of which none does
+  // must not keep engines busy for the rest of the batch.
+  if (item.m_unusableRuns >= aRun.m_policy.m_maxAttempts) {
+    item.m_phase = ItemUnusable{};
+  }
 }
 
 void
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -1,5 +1,6 @@
 #include "batches/internal/itemrun.h"
 
+#include "core/utf8.h"
 #include "http/exchange.h"
 #include "kernel/controlthread.h"
 #include "kernel/eventlog.h"
@@ -127,6 +128,12 @@
       aReport.m_outcome = RunInterrupted{};
       return false;
     }
+    // Neither the stored result nor the trainer's JSON could hold the text, and
+    // a text with other bytes in their place would not be the engine's.
+    if (!core::IsUtf8(aEvent.m_data)) {
+      aReport.m_outcome = RunUnusable{};
+      return false;
+    }
     // The version list is non-empty exactly if the report already holds an
     // event.
     if (!aReport.m_versions.empty()) {
@@ -195,7 +202,8 @@
       aStream.Abandon();
       LogRunEnd(aTask,
                 "unusable",
-                "unexpected event id, outdated weight version or too large",
+                "unexpected event id, outdated weight version, too large or "
+                "not UTF-8",
                 aReport);
       co_return;
     }
--- a/src/batches/internal/scoring.cpp
+++ b/src/batches/internal/scoring.cpp
@@ -3,6 +3,7 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 
+#include "core/utf8.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
 
@@ -24,7 +25,8 @@
     return ScoreUnavailable{};
   }
   const uint32_t status = aResponse->m_response.m_head.m_status;
-  if (status >= kFirstSuccess && status < kFirstRedirection) {
+  const bool isScored = status >= kFirstSuccess && status < kFirstRedirection;
+  if (isScored && core::IsUtf8(aResponse->m_proof)) {
     return Scored{ aResponse->m_proof };
   }
   // Other statuses say nothing of the item, so that they do not count towards
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -296,6 +296,24 @@
   CHECK(overdue.m_pendingResults.size() == 1);
 }
 
+// Guards against an item that runs again and again, because no result can hold
+// the text that engines make of it.
+TEST_CASE("an item without a usable text starts no more and is lost at the "
+          "deadline")
+{
+  BatchRun run = MakeTestRun(1);
+  for (uint32_t i = 0; i < run.m_policy.m_maxAttempts; ++i) {
+    const int start = static_cast<int>(i) * 1000;
+    RunNextItem(run, { RunUnusable{}, "", 0, {} }, At(start));
+    CHECK(run.m_pendingResults.empty());
+  }
+  CHECK_FALSE(FindNextItemToStart(run, At(39'000)));
+  CHECK(FindNextDeadline(run, At(39'000)) == At(40'000));
+  MarkOverdueItemsLost(run, At(40'000));
+  REQUIRE(run.m_pendingResults.size() == 1);
+  CHECK(std::holds_alternative<Lost>(run.m_pendingResults.front().m_outcome));
+}
+
 TEST_CASE("scorer failures count against the limit of the scoring route")
 {
   constexpr uint32_t kScorerAttempts = 4;
