Read back origins of streams whose software has no version

An upstream whose entry names an empty version made the whole shard unreadable, so that no stream of it could be resumed at another host.

Test, failing before: originstest.cpp, "origins with empty names are read back".

--- a/src/resumption/internal/originjson.cpp
+++ b/src/resumption/internal/originjson.cpp
@@ -35,10 +35,10 @@
             int64_t aWallNow)
 {
   StreamOrigin origin;
-  origin.m_stream.m_value = aReader.Text("stream");
+  origin.m_stream.m_value = aReader.AnyText("stream");
   if (aReader.OptionalValue("service") != nullptr) {
-    origin.m_software = core::Software{ { aReader.Text("service") },
-                                        { aReader.Text("version") } };
+    origin.m_software = core::Software{ { aReader.AnyText("service") },
+                                        { aReader.AnyText("version") } };
   }
   const int64_t expiresAt = aReader.Integer("expires_at", { 0, INT64_MAX });
   // A clock that differs from the writer's does not prolong the lifetime.
--- a/src/resumption/tests/originstest.cpp
+++ b/src/resumption/tests/originstest.cpp
@@ -89,4 +89,17 @@
   }
 }
 
+// Guards against a host whose streams can't be resumed elsewhere, because one
+// of its upstreams names no version of its software.
+TEST_CASE("origins with empty names are read back")
+{
+  const std::vector<StreamOrigin> origins{
+    MakeOrigin("", { { "" }, { "" } }), MakeOrigin("b", { { "s" }, { "" } })
+  };
+  const auto read = ParseOrigins(ToJson(origins, kNow), kNow);
+  REQUIRE(read.ok());
+  REQUIRE(read->size() == 2);
+  CHECK(read->at(1).m_software == origins[1].m_software);
+}
+
 } // namespace heatherdeal::resumption
