Read back descriptions of relayed calls that hold empty names

A stream that is taken up without naming the one it resumes, and a call of a route without a name, were refused by the other host as invalid. A time left outside the reader's range was refused too; the writer keeps to the range now.

The codec has a file of its own, so that a test reaches it. Test, failing before: calldescriptiontest.cpp, "every description of a call is read back".

--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -1,11 +1,9 @@
 #include "relay/internal/peerrelay.h"
 
-#include "boost/json/serialize.hpp"
-
 #include "configuration/activeconfiguration.h"
 #include "kernel/eventlog.h"
-#include "kernel/json.h"
 #include "relay/attemptlimit.h"
+#include "relay/internal/calldescription.h"
 
 namespace heatherdeal::relay {
 
@@ -21,63 +19,6 @@
 constexpr std::string_view kCutOff = "cut-off";
 constexpr std::string_view kTopicName = "cut-off";
 
-/// What the other host has to know of a call beside the request itself.
-struct CallDescription
-{
-  std::string m_id;
-  std::string m_route;
-  uint64_t m_generation = 0;
-  int64_t m_timeLeftMs = 0;
-  /// 0 for requests of batches.
-  uint64_t m_fingerprint = 0;
-  StreamPosition m_position;
-  /// Empty if the call belongs to no customer.
-  core::CustomerId m_customer;
-};
-
-std::string
-ToJson(const CallDescription& aDescription)
-{
-  boost::json::object value{ { "id", aDescription.m_id },
-                             { "route", aDescription.m_route },
-                             { "generation", aDescription.m_generation },
-                             { "time_left_ms", aDescription.m_timeLeftMs },
-                             { "fingerprint",
-                               std::to_string(aDescription.m_fingerprint) } };
-  if (const auto* resume =
-        std::get_if<ResumeStream>(&aDescription.m_position)) {
-    value["resumes"] = resume->m_stream.m_value;
-  }
-  // Hosts of earlier releases reject this field, so that it is written only if
-  // it is used.
-  if (!aDescription.m_customer.m_value.empty()) {
-    value["customer"] = aDescription.m_customer.m_value;
-  }
-  return boost::json::serialize(value);
-}
-
-absl::StatusOr<CallDescription>
-ParseDescription(std::string_view aText)
-{
-  return kernel::ParseMessage<CallDescription>(
-    aText, "relayed call", [](kernel::SettingsReader& aReader) {
-      CallDescription description;
-      description.m_id = aReader.Text("id");
-      description.m_route = aReader.Text("route");
-      description.m_generation =
-        static_cast<uint64_t>(aReader.Integer("generation", { 0, INT64_MAX }));
-      description.m_timeLeftMs =
-        aReader.Integer("time_left_ms", { 0, INT32_MAX });
-      description.m_fingerprint =
-        std::strtoull(aReader.Text("fingerprint").c_str(), nullptr, 10);
-      if (aReader.OptionalValue("resumes") != nullptr) {
-        description.m_position = ResumeStream{ { aReader.Text("resumes") } };
-      }
-      description.m_customer.m_value = aReader.TextOr("customer", "");
-      return description;
-    });
-}
-
 CallDescription
 Describe(const RoutedCall& aCall, uint64_t aGeneration, core::Instant aDeadline)
 {
@@ -85,7 +26,8 @@
   description.m_id = aCall.m_id;
   description.m_route = aCall.m_route.m_name;
   description.m_generation = aGeneration;
-  description.m_timeLeftMs = kernel::Milliseconds(aDeadline - kernel::Now());
+  description.m_timeLeftMs = std::clamp<int64_t>(
+    kernel::Milliseconds(aDeadline - kernel::Now()), 0, kMaxTimeLeftMs);
   if (const auto* caller = std::get_if<CallerOrigin>(&aCall.m_origin)) {
     description.m_fingerprint = caller->m_fingerprint.m_value;
   }
