--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "absl/strings/ascii.h"
 #include "boost/beast/core/string.hpp"
 
 namespace heatherdeal::http {
@@ -14,6 +15,18 @@
   "TE",         "Trailer",    "Upgrade",          "Content-Length",
 };
 
+// The characters of a token beside letters and digits.
+constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
+
+bool
+IsControl(char aCharacter)
+{
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  const auto code = static_cast<unsigned char>(aCharacter);
+  return code < kFirstPrintable || code == kDelete;
+}
+
 bool
 IsConnectionHeader(std::string_view aName)
 {
@@ -42,6 +55,32 @@
   return {};
 }
 
+bool
+IsHeaderName(std::string_view aName)
+{
+  return !aName.empty() && std::ranges::all_of(aName, [](char aCharacter) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(aCharacter)) ||
+           kTokenPunctuation.find(aCharacter) != std::string_view::npos;
+  });
+}
+
+bool
+IsHeaderValue(std::string_view aValue)
+{
+  return std::ranges::none_of(aValue, [](char aCharacter) {
+    return aCharacter != '\t' && IsControl(aCharacter);
+  });
+}
+
+bool
+IsTarget(std::string_view aTarget)
+{
+  return aTarget.starts_with('/') &&
+         std::ranges::none_of(aTarget, [](char aCharacter) {
+           return aCharacter == ' ' || IsControl(aCharacter);
+         });
+}
+
 std::vector<Header>
 CopyEndToEndHeaders(std::span<const Header> aHeaders)
 {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -63,6 +63,19 @@
 std::string_view
 FindHeader(std::span<const Header> aHeaders, std::string_view aName);
 
+/// True if the name can be sent in a head: a token of RFC 9110.
+bool
+IsHeaderName(std::string_view aName);
+
+/// True if the value can be sent in a head without ending its line.
+bool
+IsHeaderValue(std::string_view aValue);
+
+/// True if the target can be sent in a request line: it begins with a slash and
+/// holds neither spaces nor control characters.
+bool
+IsTarget(std::string_view aTarget);
+
 /// Returns the headers that do not concern a single connection only.
 std::vector<Header>
 CopyEndToEndHeaders(std::span<const Header> aHeaders);
