Leave out the entries of a list that can't be read, and only these

Cause: a response of the store was parsed as a whole. What the parser does not accept was taken out for numbers and depth only. So was a list refused for an escape that is none, half of a surrogate pair, a raw control character, or brackets of one entry that don't match. Each try met the same entry again, and hosts that follow another one were answered 503.

Change: ParsePartialJson replaces ParseUncheckedJson. Where a document is not valid as a whole, its parts are read one by one, and the smallest part that can't be read becomes null. "metadata" and "spec" count as wholes: an entry with a part missing would say something else. Where brackets of an entry don't match, the list goes on at the next entry. The time is bounded by the size.

An entry that can't be read, or whose content does not fit its kind, is counted (objectstore.unreadable_objects) and logged once with its name, until it is readable or removed. On related paths: an entry with an empty name or a negative revision is left out (the hosts that follow could not read the list), and the name after which a list goes on is escaped in the target.

This holds for all kinds that are read or watched in the store. A batch submission with an item that can't be read is still refused as a whole, with 400: its sender learns of it, and "total" counts all of its items.

--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/str_format.h"
 #include "boost/beast/core/string.hpp"
 
 namespace heatherdeal::http {
@@ -120,6 +121,23 @@
   return std::nullopt;
 }
 
+std::string
+EscapeQueryValue(std::string_view aText)
+{
+  constexpr std::string_view kUnreservedPunctuation = "-._~";
+  std::string escaped;
+  for (const char character : aText) {
+    const auto code = static_cast<unsigned char>(character);
+    if (absl::ascii_isalnum(code) ||
+        kUnreservedPunctuation.find(character) != std::string_view::npos) {
+      escaped += character;
+    } else {
+      absl::StrAppendFormat(&escaped, "%%%02X", code);
+    }
+  }
+  return escaped;
+}
+
 std::optional<uint64_t>
 QueryNumber(std::string_view aTarget, std::string_view aName)
 {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -89,6 +89,11 @@
 std::optional<std::string_view>
 QueryValue(std::string_view aTarget, std::string_view aName);
 
+/// Returns the text with each character percent-encoded that may have a meaning
+/// in a target.
+std::string
+EscapeQueryValue(std::string_view aText);
+
 /// Returns a query parameter as a decimal number, or nullopt if it is missing
 /// or not a number.
 std::optional<uint64_t>
--- a/src/kernel/json.h
+++ b/src/kernel/json.h
@@ -23,12 +23,6 @@
 absl::StatusOr<boost::json::value>
 ParseJson(std::string_view aText, std::string_view aDocumentName);
 
-/// Parses a JSON document that holds parts from writers that nobody has
-/// checked. A part that is nested too deeply, or a number that is too large,
-/// becomes null instead of making the whole document invalid.
-absl::StatusOr<boost::json::value>
-ParseUncheckedJson(std::string_view aText, std::string_view aDocumentName);
-
 /// Returns the first error as an InvalidInput failure, or OK if there are no
 /// errors.
 absl::Status
--- a/src/objectstore/internal/objectcalls.cpp
+++ b/src/objectstore/internal/objectcalls.cpp
@@ -95,6 +95,9 @@
     for (StoredObject& object : page->m_objects) {
       fullList.m_objects.push_back(std::move(object));
     }
+    for (UnreadableObject& object : page->m_unreadable) {
+      fullList.m_unreadable.push_back(std::move(object));
+    }
     if (!page->m_isTruncated) {
       co_return fullList;
     }
--- a/src/objectstore/objectcodec.h
+++ b/src/objectstore/objectcodec.h
@@ -39,11 +39,24 @@
   core::Duration m_maxWait{};
 };
 
+/// An entry of a list that can't be read, or whose content does not fit its
+/// kind.
+struct UnreadableObject
+{
+  /// Empty if the entry has no name that can be read.
+  std::string m_name;
+  uint64_t m_version = 0;
+
+  auto operator<=>(const UnreadableObject&) const = default;
+};
+
 /// All objects of a kind, or the changes since the requested revision.
 struct ObjectList
 {
   uint64_t m_revision = 0;
   std::vector<StoredObject> m_objects;
+  /// Those with a name are in m_objects too, with an empty value.
+  std::vector<UnreadableObject> m_unreadable;
   /// Names of the objects that were removed since the requested revision.
   std::vector<std::string> m_removedNames;
   /// True if m_objects holds the whole kind instead of changes.
