Leave weights with long names out of digests

A digest with a name of weights of over 64 bytes is refused as a whole by its receivers; from 256 bytes on, the length wrapped around. Each digest of a host that knows such a name carried it, so that no host heard of another.

The sender leaves such a version out; hosts learn of it from the store.

Test, failing before: memberstest.cpp, "a version of weights with a long name keeps no digest from being read".

--- a/src/gossip/decisions/members.cpp
+++ b/src/gossip/decisions/members.cpp
@@ -94,7 +94,10 @@
     digest.m_hosts.push_back(members[i]->m_hostStatus);
   }
   for (const auto& [weights, version] : aState.m_versions) {
-    if (digest.m_versions.size() < kMaxVersionsPerDigest) {
+    // The receiver rejects a digest with a longer name as a whole.
+    const bool fits = digest.m_versions.size() < kMaxVersionsPerDigest &&
+                      weights.size() <= kMaxNameBytes;
+    if (fits) {
       digest.m_versions.push_back({ weights, version });
     }
   }
--- a/src/gossip/tests/memberstest.cpp
+++ b/src/gossip/tests/memberstest.cpp
@@ -4,6 +4,7 @@
 
 #include "catch2/catch.hpp"
 
+#include "gossip/internal/digestcodec.h"
 #include "virtualworld/eventqueue.h"
 
 namespace heatherdeal::gossip {
@@ -332,6 +333,33 @@
   }
 }
 
+// Guards against hosts that hear nothing of each other any more, because the
+// name of a set of weights is longer than a digest may hold.
+TEST_CASE("a version of weights with a long name keeps no digest from being "
+          "read")
+{
+  GossipState state;
+  std::vector<GossipEffect> effects;
+  Apply(state, PeersChanged{ { "h1", "h2" } }, AtSecond(1), effects);
+  for (const size_t length :
+       { size_t(1), kMaxNameBytes, size_t(65), size_t(300) }) {
+    const VersionLearned learned{ { std::string(length, 'w'), { 2 } } };
+    Apply(state, learned, AtSecond(1), effects);
+  }
+  effects.clear();
+  Apply(state, RoundDue{}, AtSecond(2), effects);
+  size_t digests = 0;
+  for (const GossipEffect& effect : effects) {
+    if (const auto* send = std::get_if<SendDigest>(&effect)) {
+      digests += 1;
+      const auto decoded = Decode(Encode(send->m_digest));
+      REQUIRE(decoded.ok());
+      CHECK(decoded->m_versions.size() == 2);
+    }
+  }
+  CHECK(digests > 0);
+}
+
 TEST_CASE("missed changes are known to all hosts within one second")
 {
   // A change must take effect within two seconds, and detecting a missed change
