Begin items again whose texts a service of no use to them began

Cause: a text goes on only at the software that began it. StartNextItem passes over each service for which no waiting item is, which is each service of the route if another one began the texts; what discards texts without an engine stands behind that and was not reached. Each wait ends with a decision about one pool, and no pool of the route is that of the text.

Change: before a batch starts items, the texts of waiting items are discarded that no service began which the route sends items to and which has engines that stay (removed from the route, weight 0, no engines). While there is no such service at all, texts are kept, since nothing could begin anew.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -356,6 +356,13 @@
   /// Discards texts that no engine of the pool will continue. Returns true if
   /// there were any.
   bool DiscardTexts(const OwnedPtr& aOwned, const PoolView& aView);
+  void ReportDiscardedTexts(const BatchId& aBatch,
+                            size_t aTexts,
+                            std::string_view aReason);
+  /// Returns the services to which the route sends items and that have engines
+  /// that stay.
+  std::vector<core::ServiceId> FindServicesWithEngines(
+    const configuration::Route& aRoute) const;
   void StartItem(const OwnedPtr& aOwned,
                  const ItemStart& aStart,
                  PoolView& aView);
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -245,6 +245,28 @@
   return discarded;
 }
 
+size_t
+DiscardTextsOfOtherServices(BatchRun& aRun,
+                            std::span<const core::ServiceId> aServices)
+{
+  if (aServices.empty()) {
+    return 0;
+  }
+  size_t discarded = 0;
+  for (ItemState& item : aRun.m_items) {
+    const bool isWaitingText =
+      HasText(item) && std::holds_alternative<ItemWaiting>(item.m_phase);
+    const bool isOfService =
+      std::ranges::find(aServices, item.m_software.m_service) !=
+      aServices.end();
+    if (isWaitingText && !isOfService) {
+      ResetText(item);
+      discarded += 1;
+    }
+  }
+  return discarded;
+}
+
 std::vector<size_t>
 FindItemsToMove(const BatchRun& aRun, std::span<const EngineSnapshot> aEngines)
 {
--- a/src/batches/engines.h
+++ b/src/batches/engines.h
@@ -87,6 +87,13 @@
                      std::span<const EngineSnapshot> aEngines,
                      core::Instant aNow);
 
+/// Discards the texts of waiting items that none of the services began; the
+/// route sends items to these only. The items are generated from the beginning.
+/// While there are no services, the texts are kept. Returns their number.
+size_t
+DiscardTextsOfOtherServices(BatchRun& aRun,
+                            std::span<const core::ServiceId> aServices);
+
 /// Returns the items that run on slow engines and for which other engines have
 /// free slots.
 std::vector<size_t>
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -199,6 +199,10 @@
   if (route == nullptr) {
     return;
   }
+  ReportDiscardedTexts(
+    aOwned->m_id,
+    DiscardTextsOfOtherServices(aOwned->m_run, FindServicesWithEngines(*route)),
+    "their service gets no items of the route any more");
   while (FindNextItemToStart(aOwned->m_run, kernel::Now())) {
     if (!StartNextItem(aOwned, *route, aViews)) {
       return;
@@ -263,18 +267,40 @@
 {
   const size_t discarded =
     DiscardOrphanedTexts(aOwned->m_run, aView.m_engines, kernel::Now());
-  if (discarded == 0) {
-    return false;
+  ReportDiscardedTexts(
+    aOwned->m_id, discarded, "no engine of the software that began them");
+  return discarded > 0;
+}
+
+void
+Batches::ReportDiscardedTexts(const BatchId& aBatch,
+                              size_t aTexts,
+                              std::string_view aReason)
+{
+  if (aTexts == 0) {
+    return;
+  }
+  m_context.Metrics().Get("batches.texts_discarded").Add(aTexts);
+  kernel::LogEvent(kernel::LogLevel::Info,
+                   "batches",
+                   "texts-discarded",
+                   { { "batch", aBatch.m_value },
+                     { "texts", aTexts },
+                     { "reason", aReason } });
+}
+
+std::vector<core::ServiceId>
+Batches::FindServicesWithEngines(const configuration::Route& aRoute) const
+{
+  std::vector<core::ServiceId> services;
+  for (const configuration::WeightedService& target : aRoute.m_services) {
+    const auto pool =
+      m_relay->UpstreamRouter().FindPool(target.m_service.m_value);
+    if (target.m_weight > 0 && pool && routing::HasStayingUpstream(*pool)) {
+      services.push_back(target.m_service);
+    }
   }
-  m_context.Metrics().Get("batches.texts_discarded").Add(discarded);
-  kernel::LogEvent(
-    kernel::LogLevel::Info,
-    "batches",
-    "texts-discarded",
-    { { "batch", aOwned->m_id.m_value },
-      { "texts", discarded },
-      { "reason", "no engine of the software that began them" } });
-  return true;
+  return services;
 }
 
 void
--- a/src/batches/tests/enginestest.cpp
+++ b/src/batches/tests/enginestest.cpp
@@ -214,6 +214,32 @@
   }
 }
 
+// Guards against items that wait for engines of a service that gets none of
+// them any more.
+TEST_CASE("texts of other services are discarded once another one can take "
+          "their items")
+{
+  BatchRun run = MakeTwoGroupRun();
+  const core::Software old{ { "old" }, { "v1" } };
+  const uint64_t number = StartItemRun(run, 0, { { "e" }, old });
+  FinishItemRun(
+    run, 0, number, { RunInterrupted{}, "a", 1, { { 3 } } }, core::Instant{});
+  StartItemRun(run, 1, { { "e" }, old });
+  const core::Instant now(milliseconds(100));
+  const core::ServiceId services[] = { { "new" }, { "old" } };
+
+  CHECK(DiscardTextsOfOtherServices(run, {}) == 0);
+  CHECK(DiscardTextsOfOtherServices(run, services) == 0);
+  run.m_items[2].m_phase = ItemDone{};
+  run.m_items[3].m_phase = ItemDone{};
+  CHECK_FALSE(HasItemFor(run, { "new" }, now));
+  CHECK(DiscardTextsOfOtherServices(run, std::span(services).first(1)) == 1);
+  CHECK(run.m_items[0].m_text.empty());
+  CHECK(HasItemFor(run, { "new" }, now));
+  // What runs is not touched.
+  CHECK(std::holds_alternative<ItemRunning>(run.m_items[1].m_phase));
+}
+
 TEST_CASE("a text does not move off a slow engine to other software")
 {
   BatchRun run = MakeTwoGroupRun();
