Score the other items of a batch while one scorer has no route

What callers saw: one scorer whose route was removed held up the scores of the whole batch; finished texts were listed as lost at maxQueueS.

Cause: StartScoreRequests stopped at the first item whose scoring request no route matches, and began with the same item each time.

Change: such an item is tried again after the delay of a scorer that is not available, until its deadline, and the others go on. Counted in batches.scores_without_route.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -367,8 +367,11 @@
                  const ItemStart& aStart,
                  PoolView& aView);
   void StartScoreRequests(const OwnedPtr& aOwned);
-  /// Returns false if no route matches the scoring request.
-  bool StartScoreRequest(const OwnedPtr& aOwned, size_t aItem);
+  void StartScoreRequest(const OwnedPtr& aOwned,
+                         size_t aItem,
+                         const configuration::Route& aRoute);
+  /// Tries again later to score an item whose scoring request has no route.
+  void PostponeScoring(const OwnedPtr& aOwned, size_t aItem);
   void StoreDueResults(const OwnedPtr& aOwned);
   void LogLostItems(const OwnedPtr& aOwned, const ResultChunk& aChunk) const;
   void WriteChunk(const OwnedPtr& aOwned, const ResultChunk& aChunk);
--- a/src/batches/internal/scoring.cpp
+++ b/src/batches/internal/scoring.cpp
@@ -68,30 +68,52 @@
 void
 Batches::StartScoreRequests(const OwnedPtr& aOwned)
 {
-  for (size_t i = 0; i < kMaxScoreStartsPerPass; ++i) {
+  size_t starts = 0;
+  while (starts < kMaxScoreStartsPerPass) {
     const std::optional<size_t> item =
       FindNextToScore(aOwned->m_run, kernel::Now());
-    if (!item || !StartScoreRequest(aOwned, *item)) {
+    if (!item) {
       return;
     }
+    const RewardRequest& reward =
+      *aOwned->m_run.m_submission->m_items[*item].m_reward;
+    const auto document = m_configuration->Read();
+    const configuration::Route* route =
+      configuration::FindRoute(*document, reward.m_host, reward.m_path);
+    if (route == nullptr) {
+      PostponeScoring(aOwned, *item);
+      continue;
+    }
+    StartScoreRequest(aOwned, *item, *route);
+    starts += 1;
   }
 }
 
-bool
-Batches::StartScoreRequest(const OwnedPtr& aOwned, size_t aItem)
+void
+Batches::PostponeScoring(const OwnedPtr& aOwned, size_t aItem)
+{
+  m_context.Metrics().Get("batches.scores_without_route").Add();
+  BatchRun& run = aOwned->m_run;
+  const uint64_t scoringNumber = StartItemScoring(run, aItem);
+  FinishItemScoring(run,
+                    aItem,
+                    scoringNumber,
+                    ScoreUnavailable{},
+                    run.m_policy.m_maxAttempts,
+                    kernel::Now());
+}
+
+void
+Batches::StartScoreRequest(const OwnedPtr& aOwned,
+                           size_t aItem,
+                           const configuration::Route& aRoute)
 {
   const RewardRequest& reward =
     *aOwned->m_run.m_submission->m_items[aItem].m_reward;
-  const auto document = m_configuration->Read();
-  const configuration::Route* route =
-    configuration::FindRoute(*document, reward.m_host, reward.m_path);
-  if (route == nullptr) {
-    return false;
-  }
   relay::RoutedCall call;
   call.m_origin = relay::BatchOrigin{};
-  call.m_route = *route;
-  if (!route->m_isPublic) {
+  call.m_route = aRoute;
+  if (!aRoute.m_isPublic) {
     call.m_customer = aOwned->m_run.m_submission->m_customer;
   }
   call.m_id = reward.m_id;
@@ -99,12 +121,12 @@
   call.m_request.m_target = reward.m_path;
   call.m_request.m_headers.push_back({ "Host", reward.m_host });
   call.m_request.m_body = reward.m_body;
-  call.m_deadline = kernel::Now() + route->m_timeout;
+  call.m_deadline = kernel::Now() + aRoute.m_timeout;
   call.m_abort = std::make_shared<http::CallAbort>();
   const size_t loop = m_context.Traffic().NextIndex();
   aOwned->m_activeRequests[aItem] = { loop, call.m_abort };
   const uint64_t scoringNumber = StartItemScoring(aOwned->m_run, aItem);
-  const uint32_t attempts = route->m_maxAttempts;
+  const uint32_t attempts = aRoute.m_maxAttempts;
   auto done =
     [self = shared_from_this(), aOwned, aItem, scoringNumber, attempts](
       const ScoreOutcome& aOutcome) {
@@ -124,7 +146,6 @@
                                 aOwned->m_run.m_submission->m_items[aItem].m_id,
                                 std::move(done)),
                  asio::detached);
-  return true;
 }
 
 } // namespace heatherdeal::batches
