Take no status that HTTP does not have for an answer

What callers saw: an upstream in trouble sent an answer with the status 999, and the caller got it as one.

Cause: a status under 200 announced another head, whatever it was, and each status from 200 on was final.

Change: one rule in the client that all ways to an upstream and to the store use: 200 to 599 is final; 100 to 199 but 101 is followed by a final head; anything else is no answer. The call fails as one whose connection broke after it was sent, and the connection is closed.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -30,7 +30,10 @@
 // Responses with informational status that a peer may send before the final
 // one.
 constexpr uint32_t kMaxInformationalResponses = 8;
+constexpr uint32_t kFirstInformationalStatus = 100;
+constexpr uint32_t kSwitchingProtocols = 101;
 constexpr uint32_t kFirstFinalStatus = 200;
+constexpr uint32_t kFirstInvalidStatus = 600;
 // A peer that disappears without closing its connections is detected after
 // about three seconds. The user timeout also decides when keep-alive probes
 // give up, whatever their number, so that both are the same time.
@@ -187,7 +190,24 @@
   return head;
 }
 
-/// Sends the request and reads the head of its response.
+/// True if the head with this status ends the response's heads.
+bool
+IsFinalStatus(uint32_t aStatus)
+{
+  return aStatus >= kFirstFinalStatus && aStatus < kFirstInvalidStatus;
+}
+
+/// True if a final head follows the one with this status. No request of this
+/// client asks to switch protocols.
+bool
+IsInformationalStatus(uint32_t aStatus)
+{
+  return aStatus >= kFirstInformationalStatus && aStatus < kFirstFinalStatus &&
+         aStatus != kSwitchingProtocols;
+}
+
+/// Sends the request and reads the head of its response. Bytes with a status
+/// that HTTP does not have are no response, whatever follows them.
 asio::awaitable<absl::StatusOr<ResponseHead>>
 SendRequestAndReadHead(PooledConnection& aConnection,
                        const Request& aRequest,
@@ -219,10 +239,14 @@
     if (error) {
       co_return FailureAfterSending(aConnection.m_peer, error);
     }
-    if (aConnection.m_parser->get().result_int() >= kFirstFinalStatus) {
+    const uint32_t status = aConnection.m_parser->get().result_int();
+    if (IsFinalStatus(status)) {
       co_return ToResponseHead(aConnection.m_parser->get(),
                                std::exchange(aConnection.m_isUsed, true));
     }
+    if (!IsInformationalStatus(status)) {
+      break;
+    }
   }
   co_return core::ToStatus(core::ConnectionFailed{ ToText(aConnection.m_peer),
                                                    core::Executed::Unknown });
