Bound the memory of texts that never end

Here, at the programs: a rollout host on a machine of 96 MB grew to 266.2 MB while engines sent events without end to the 400 items of one batch.

Cause: three. A text that is discarded kept its memory, since clear() does not free it: 640 KB for each item that had ever met such an engine. Texts that are not complete were counted in no budget. An event that is not complete could be 1 MiB although a text holds 600 KiB, and a checkpoint of any size was copied and encoded before the store refused it.

Change: the text of an item occupies the memory budget of the process while it is not complete. Without room the run ends, the text is discarded and the item begins again a second later, so that others can end. ResetText frees the memory; checkpoints over the size of an object are not made. A run that ends as unusable says in the log which rule it broke.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -14,6 +14,7 @@
 #include "core/failure.h"
 #include "gossip/gossip.h"
 #include "http/callabort.h"
+#include "http/processbudget.h"
 #include "kernel/deadlinetimer.h"
 #include "objectstore/objectstore.h"
 #include "relay/relay.h"
@@ -200,6 +201,9 @@
     std::optional<core::Instant> m_contestedAt;
     /// Generation and scoring requests in flight, by item index.
     std::map<size_t, ActiveRequest> m_activeRequests;
+    /// The memory of texts that are not complete, by item index.
+    std::map<size_t, std::shared_ptr<http::ProcessBudget::Reservation>>
+      m_textMemory;
   };
   using OwnedPtr = std::shared_ptr<OwnedBatch>;
   /// The owner of a batch that this host does not own.
@@ -366,6 +370,11 @@
   void StartItem(const OwnedPtr& aOwned,
                  const ItemStart& aStart,
                  PoolView& aView);
+  /// Returns the memory that the text of the item occupies, or null if there is
+  /// no budget.
+  std::shared_ptr<http::ProcessBudget::Reservation> ReserveText(
+    OwnedBatch& aOwned,
+    size_t aItem) const;
   void StartScoreRequests(const OwnedPtr& aOwned);
   void StartScoreRequest(const OwnedPtr& aOwned,
                          size_t aItem,
@@ -403,6 +412,8 @@
   std::shared_ptr<configuration::ActiveConfiguration> m_configuration;
   std::shared_ptr<gossip::Gossip> m_gossip;
   std::shared_ptr<relay::Relay> m_relay;
+  /// Null if the process has no budget.
+  std::shared_ptr<http::ProcessBudget> m_budget;
   std::map<std::string, Placement, std::less<>> m_placements;
   std::map<std::string, OwnedPtr, std::less<>> m_owned;
   /// The earliest time of the next takeover attempt, by batch.
--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -178,6 +178,10 @@
 struct RunUnusable
 {};
 
+/// This host had no memory for more of the text.
+struct RunOverBudget
+{};
+
 /// The engine did not accept the request.
 struct RunRefused
 {};
@@ -198,6 +202,7 @@
                                 RunInterrupted,
                                 RunEndUnconfirmed,
                                 RunUnusable,
+                                RunOverBudget,
                                 RunRefused,
                                 RunFailed,
                                 RunUnprocessable,
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -17,6 +17,8 @@
   std::chrono::milliseconds(60);
 constexpr core::Duration kFailureRetryDelay = std::chrono::milliseconds(100);
 constexpr core::Duration kOutdatedRetryDelay = std::chrono::milliseconds(100);
+// Other texts have to end before there is memory again.
+constexpr core::Duration kOverBudgetRetryDelay = std::chrono::seconds(1);
 constexpr core::Duration kNoScoreRetryDelay = std::chrono::milliseconds(150);
 
 void
@@ -155,6 +157,16 @@
   }
 }
 
+void
+HandleOutcome(BatchRun& aRun,
+              size_t aItem,
+              const RunOverBudget&,
+              core::Instant aNow)
+{
+  // Without its text, the item leaves its memory to those that are ahead.
+  RestartItem(aRun.m_items[aItem], aNow + kOverBudgetRetryDelay);
+}
+
 void
 HandleOutcome(BatchRun& aRun,
               size_t aItem,
--- a/src/batches/decisions/checkpoint.cpp
+++ b/src/batches/decisions/checkpoint.cpp
@@ -6,6 +6,24 @@
 
 namespace heatherdeal::batches {
 
+namespace {
+
+// What an object of the store holds. Larger checkpoints are not even copied.
+constexpr size_t kMaxCheckpointBytes = 1024UL * 1024;
+
+/// Returns the size of the texts that are not complete.
+size_t
+UnfinishedBytes(const BatchRun& aRun)
+{
+  size_t bytes = 0;
+  for (const ItemState& item : aRun.m_items) {
+    bytes += IsDone(item) ? 0 : item.m_text.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
 std::optional<Checkpoint>
 StartNextCheckpoint(BatchRun& aRun, core::Instant aNow)
 {
@@ -18,7 +36,7 @@
     return !IsDone(aItem) &&
            aItem.m_eventCount >= aItem.m_checkpointedEvents + minEvents;
   });
-  if (!due) {
+  if (!due || UnfinishedBytes(aRun) > kMaxCheckpointBytes) {
     return std::nullopt;
   }
   Checkpoint checkpoint;
--- a/src/batches/decisions/itemstate.cpp
+++ b/src/batches/decisions/itemstate.cpp
@@ -13,7 +13,8 @@
 void
 ResetText(ItemState& aItem)
 {
-  aItem.m_text.clear();
+  // clear() would keep the memory.
+  std::string().swap(aItem.m_text);
   aItem.m_eventCount = 0;
   aItem.m_checkpointedEvents = 0;
   aItem.m_versions.clear();
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -22,6 +22,7 @@
   , m_configuration(aContext.Get<configuration::ActiveConfiguration>())
   , m_gossip(aContext.Get<gossip::Gossip>())
   , m_relay(aContext.Get<relay::Relay>())
+  , m_budget(aContext.Get<http::ProcessBudget>())
   , m_workTimer(aContext.Control(), [this] { RunDueWork(); })
   , m_housekeepingTimer(aContext.Control(),
                         [this] {
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -72,7 +72,9 @@
 public:
   TextCollector(const ItemRunTask& aTask, core::WeightVersion aVersion)
     : m_reservation(*aTask.m_reservation)
-    , m_parser(relay::CodecInUse().m_versionField)
+    , m_memory(aTask.m_memory)
+    , m_parser(relay::CodecInUse().m_versionField, kMaxTextBytes)
+    , m_textBytes(aTask.m_resumedBytes)
     , m_mayBeComplete(aTask.m_mayBeComplete)
     , m_nextEventId(aTask.m_resumeAfter + 1)
     , m_oldestAllowedVersion(aTask.m_oldestAllowedVersion)
@@ -90,8 +92,13 @@
       }
     }
     if (m_parser.IsEventTooLarge() || m_textBytes > kMaxTextBytes) {
-      aReport.m_outcome = RunUnusable{};
-      return false;
+      return Reject(aReport, RunUnusable{}, "text too large");
+    }
+    // The buffer of a text that grows is copied into a larger one.
+    const uint64_t bytes =
+      budget::CostOfBody(m_textBytes + m_parser.BufferedBytes(), false, 1);
+    if (m_memory && !m_memory->TryResize(bytes)) {
+      return Reject(aReport, RunOverBudget{}, "no memory for the text");
     }
     return true;
   }
@@ -113,26 +120,35 @@
 
   /// Returns when the last event became complete, or Instant{} if none did.
   core::Instant LastEventAt() const { return m_lastEventAt; }
+  /// Returns why the stream is not usable any further.
+  std::string_view Rejection() const { return m_rejection; }
 
 private:
+  /// Always returns false.
+  bool Reject(RunReport& aReport,
+              RunOutcome aOutcome,
+              std::string_view aRejection)
+  {
+    aReport.m_outcome = aOutcome;
+    m_rejection = aRejection;
+    return false;
+  }
+
   bool AppendEvent(relay::StreamEvent& aEvent, RunReport& aReport)
   {
     if (aEvent.m_version) {
       m_version = *aEvent.m_version;
     }
     if (m_version < m_oldestAllowedVersion) {
-      aReport.m_outcome = RunOutdatedWeights{};
-      return false;
+      return Reject(aReport, RunOutdatedWeights{}, "outdated weight version");
     }
     if (aEvent.m_id != m_nextEventId) {
-      aReport.m_outcome = RunInterrupted{};
-      return false;
+      return Reject(aReport, RunInterrupted{}, "unexpected event id");
     }
     // Neither the stored result nor the trainer's JSON could hold the text, and
     // a text with other bytes in their place would not be the engine's.
     if (!core::IsUtf8(aEvent.m_data)) {
-      aReport.m_outcome = RunUnusable{};
-      return false;
+      return Reject(aReport, RunUnusable{}, "text is not UTF-8");
     }
     // The version list is non-empty exactly if the report already holds an
     // event.
@@ -154,13 +170,15 @@
     return true;
   }
 
+  std::string_view m_rejection;
   routing::UpstreamReservation& m_reservation;
+  std::shared_ptr<http::ProcessBudget::Reservation> m_memory;
   core::Instant m_lastEventAt{};
   relay::EventStreamParser m_parser;
+  /// Size of the whole text.
+  size_t m_textBytes;
   bool m_mayBeComplete;
   uint64_t m_nextEventId;
-  /// Size of the text that this run has generated.
-  size_t m_textBytes = 0;
   core::WeightVersion m_oldestAllowedVersion;
   /// The version that generates the current event.
   core::WeightVersion m_version;
@@ -200,11 +218,7 @@
     }
     if (!text.AppendPart(*part, aReport)) {
       aStream.Abandon();
-      LogRunEnd(aTask,
-                "unusable",
-                "unexpected event id, outdated weight version, too large or "
-                "not UTF-8",
-                aReport);
+      LogRunEnd(aTask, "unusable", text.Rejection(), aReport);
       co_return;
     }
     if (kernel::Now() >= nextReportAt && !aReport.m_versions.empty()) {
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -7,6 +7,7 @@
 
 #include "batches/batchrun.h"
 #include "http/client.h"
+#include "http/processbudget.h"
 #include "kernel/context.h"
 #include "limits/upstreamlimits.h"
 #include "routing/pool.h"
@@ -38,6 +39,10 @@
   core::Instant m_deadline{};
   std::shared_ptr<http::CallAbort> m_abort;
   std::shared_ptr<limits::UpstreamLimits> m_limits;
+  /// The memory that the whole text occupies; null without a budget.
+  std::shared_ptr<http::ProcessBudget::Reservation> m_memory;
+  /// Size of the text that the run resumes.
+  size_t m_resumedBytes = 0;
   /// Called on the traffic loop with the output since the previous call.
   std::function<void(RunReport)> m_onProgress;
 };
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -400,6 +400,8 @@
   task.m_deadline = run.m_policy.m_itemDeadline;
   task.m_abort = std::make_shared<http::CallAbort>();
   task.m_limits = m_context.Get<limits::UpstreamLimits>();
+  task.m_memory = ReserveText(*aOwned, itemIndex);
+  task.m_resumedBytes = run.m_items[itemIndex].m_text.size();
   const uint64_t runNumber =
     StartItemRun(run, itemIndex, { engine.m_id, engine.m_software });
   const size_t loop = m_context.Traffic().NextIndex();
@@ -426,6 +428,9 @@
       aOwned->m_activeRequests.erase(itemIndex);
       FinishItemRun(
         aOwned->m_run, itemIndex, runNumber, std::move(aReport), kernel::Now());
+      if (aOwned->m_run.m_items[itemIndex].m_text.empty()) {
+        aOwned->m_textMemory.erase(itemIndex);
+      }
       self->RunDueWork();
     };
   asio::co_spawn(m_context.Traffic().Loop(loop),
@@ -436,6 +441,19 @@
                  asio::detached);
 }
 
+std::shared_ptr<http::ProcessBudget::Reservation>
+Batches::ReserveText(OwnedBatch& aOwned, size_t aItem) const
+{
+  if (!m_budget) {
+    return nullptr;
+  }
+  auto& memory = aOwned.m_textMemory[aItem];
+  if (!memory) {
+    memory = std::make_shared<http::ProcessBudget::Reservation>(m_budget);
+  }
+  return memory;
+}
+
 void
 Batches::AbortActiveRequests(OwnedBatch& aOwned)
 {
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -314,6 +314,31 @@
   CHECK(std::holds_alternative<Lost>(run.m_pendingResults.front().m_outcome));
 }
 
+// Guards against a host without memory that keeps the texts for which it has
+// none, so that no text ever ends.
+TEST_CASE("an item for whose text there is no memory begins again later")
+{
+  BatchRun run = MakeTestRun(1);
+  RunNextItem(run, MakeReport(RunOverBudget{}, "a", 1), At(0));
+  CHECK(run.m_items[0].m_text.empty());
+  CHECK_FALSE(FindNextItemToStart(run, At(500)));
+  CHECK(FindNextItemToStart(run, At(1000)) == 0);
+}
+
+TEST_CASE("texts that no object of the store can hold make no checkpoint")
+{
+  BatchRun run = MakeTestRun(2);
+  for (ItemState& item : run.m_items) {
+    item.m_eventCount = 100;
+    item.m_text = std::string(600UL * 1024, 'x');
+  }
+  CHECK_FALSE(StartNextCheckpoint(run, At(0)));
+  run.m_items[0].m_text.resize(100);
+  const auto checkpoint = StartNextCheckpoint(run, At(0));
+  REQUIRE(checkpoint);
+  CHECK(checkpoint->m_texts.size() == 2);
+}
+
 TEST_CASE("scorer failures count against the limit of the scoring route")
 {
   constexpr uint32_t kScorerAttempts = 4;
--- a/src/relay/decisions/eventstream.cpp
+++ b/src/relay/decisions/eventstream.cpp
@@ -20,8 +20,10 @@
 
 } // namespace
 
-EventStreamParser::EventStreamParser(std::string_view aVersionField)
+EventStreamParser::EventStreamParser(std::string_view aVersionField,
+                                     size_t aMaxEventBytes)
   : m_versionField(aVersionField)
+  , m_maxEventBytes(aMaxEventBytes)
 {
 }
 
--- a/src/relay/eventstream.h
+++ b/src/relay/eventstream.h
@@ -25,21 +25,26 @@
 class EventStreamParser
 {
 public:
-  /// Maximum size of an event that is not complete yet.
+  /// Maximum size of an event that is not complete yet, unless the constructor
+  /// is given another one.
   static constexpr size_t kMaxEventBytes = 1024UL * 1024;
 
   /// aVersionField is the name of the event field that holds the weight
   /// version.
-  explicit EventStreamParser(std::string_view aVersionField);
+  explicit EventStreamParser(std::string_view aVersionField,
+                             size_t aMaxEventBytes = kMaxEventBytes);
 
   /// Appends aBytes to the stream and returns the events that they complete.
   std::vector<StreamEvent> ParseChunk(std::string_view aBytes);
 
   /// True if the event that is being received exceeds the limit. The stream is
   /// then not usable any further.
-  bool IsEventTooLarge() const
+  bool IsEventTooLarge() const { return BufferedBytes() > m_maxEventBytes; }
+
+  /// Returns the size of the event that is being received.
+  size_t BufferedBytes() const
   {
-    return m_unparsed.size() + m_currentEvent.m_data.size() > kMaxEventBytes;
+    return m_unparsed.size() + m_currentEvent.m_data.size();
   }
 
   /// True if an event has begun and is not complete yet.
@@ -50,6 +55,7 @@
   void ApplyField(std::string_view aName, std::string_view aValue);
 
   std::string m_versionField;
+  size_t m_maxEventBytes;
   std::string m_unparsed;
   StreamEvent m_currentEvent;
   bool m_hasData = false;
