Start no more requests of batches than the descriptors allow

Found by the test of fifty upstreams that send without end: a rollout host on a machine of 400 descriptors had 481 open, since each item of a batch takes a connection and nothing bounds how many run at the same time. At its limit a process can accept no connection, and reach no store.

Change: generation and scoring requests together take the part of the connections that incoming ones may not take; further items wait as they do for a free slot.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -370,6 +370,9 @@
   void StartItem(const OwnedPtr& aOwned,
                  const ItemStart& aStart,
                  PoolView& aView);
+  /// True if the descriptors of this process suffice for one more generation or
+  /// scoring request.
+  bool MayStartRequest() const;
   /// Returns the memory that the text of the item occupies, or null if there is
   /// no budget.
   std::shared_ptr<http::ProcessBudget::Reservation> ReserveText(
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -203,7 +203,8 @@
     aOwned->m_id,
     DiscardTextsOfOtherServices(aOwned->m_run, FindServicesWithEngines(*route)),
     "their service gets no items of the route any more");
-  while (FindNextItemToStart(aOwned->m_run, kernel::Now())) {
+  while (MayStartRequest() &&
+         FindNextItemToStart(aOwned->m_run, kernel::Now())) {
     if (!StartNextItem(aOwned, *route, aViews)) {
       return;
     }
@@ -441,6 +442,20 @@
                  asio::detached);
 }
 
+bool
+Batches::MayStartRequest() const
+{
+  if (!m_budget) {
+    return true;
+  }
+  size_t active = 0;
+  for (const auto& [id, owned] : m_owned) {
+    active += owned->m_activeRequests.size();
+  }
+  const budget::BudgetLimits& limits = m_budget->Limits();
+  return active < limits.m_maxConnections - limits.m_maxIncoming;
+}
+
 std::shared_ptr<http::ProcessBudget::Reservation>
 Batches::ReserveText(OwnedBatch& aOwned, size_t aItem) const
 {
--- a/src/batches/internal/scoring.cpp
+++ b/src/batches/internal/scoring.cpp
@@ -69,7 +69,7 @@
 Batches::StartScoreRequests(const OwnedPtr& aOwned)
 {
   size_t starts = 0;
-  while (starts < kMaxScoreStartsPerPass) {
+  while (starts < kMaxScoreStartsPerPass && MayStartRequest()) {
     const std::optional<size_t> item =
       FindNextToScore(aOwned->m_run, kernel::Now());
     if (!item) {
