Keep open batches, however old they are

The users' steps take 20 minutes.

Cause: RemoveExpiredBatches looked at the age of a batch alone.

Change: only ended batches expire. The decision stands in batches/retention.h.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -29,7 +29,7 @@
 {
   /// True if this host runs batches.
   bool m_enabled = false;
-  /// How long a batch is kept after it was accepted.
+  /// How long after it was accepted an ended batch is kept.
   core::Duration m_retention = std::chrono::seconds(150);
   /// How long a draining host continues its batches before it hands them over.
   core::Duration m_drainTime = std::chrono::milliseconds(5500);
@@ -234,7 +234,7 @@
   void TakeOverOrphans();
   /// Hands over before the process ends, until no batch is left.
   void HandOverBeforeExit();
-  /// True if the batch is older than the retention time.
+  /// True if the batch may be removed.
   bool IsExpired(const Placement& aPlacement) const;
   void TakeOverBatch(const Placement& aPlacement);
   /// True if the owner has handed the batch over or gossip no longer hears from
@@ -242,7 +242,8 @@
   bool IsOrphaned(const Placement& aPlacement) const;
   /// True if this host ranks first for the batch among the available hosts.
   bool IsThisHostNextOwner(const BatchId& aBatch) const;
-  /// Deletes the owned batches that are older than the retention time.
+  /// Deletes the owned batches that have ended and are older than the retention
+  /// time.
   void RemoveExpiredBatches();
   /// Stops owning a batch: aborts its requests and answers its pending reads.
   void DropBatch(std::string_view aBatch);
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -4,6 +4,7 @@
 #include "batches/internal/objectnames.h"
 #include "batches/internal/ownerhosts.h"
 #include "batches/owners.h"
+#include "batches/retention.h"
 #include "http/exchange.h"
 #include "kernel/eventlog.h"
 #include "objectstore/hosts.h"
@@ -235,9 +236,8 @@
 bool
 Batches::IsExpired(const Placement& aPlacement) const
 {
-  const int64_t oldest =
-    kernel::UnixMilliseconds() - kernel::Milliseconds(m_settings.m_retention);
-  return aPlacement.m_acceptedAt < oldest;
+  return batches::IsExpired(
+    aPlacement, kernel::UnixMilliseconds(), m_settings.m_retention);
 }
 
 void
