Do not take an engine's crash for the end of a text

Cause: a run whose answer has no length and brings no event counted as the confirmation of the text before it. An engine that crashes after its head and before its first event sends exactly that.

Change: a run confirms by a marked end only. A text whose end no engine ever marks is complete once two runs in a row on one engine have added nothing: the engine has accepted the second after the first had ended, so that no crash ended the first, and what it said was that there is nothing after the last event. That is the whole output, so it is no MIXED. A run that fails in between, or another engine, begins this anew. The item goes back to the engine of its empty run, if that takes it.

--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -81,6 +81,9 @@
   /// True if the last run ended after the last event of the text without saying
   /// whether the text is complete.
   bool m_mayBeComplete = false;
+  /// The engine whose run then found nothing to add, without saying so either;
+  /// empty if there is none. It may have crashed at that moment.
+  core::UpstreamId m_emptyRunAt;
   /// The number of events that are in a stored checkpoint.
   uint64_t m_checkpointedEvents = 0;
   uint32_t m_failedRuns = 0;
@@ -169,10 +172,13 @@
 struct RunInterrupted
 {};
 
-/// The stream ended with its connection after a complete event. Whether the
-/// text is complete shows when another run continues it.
+/// The stream ended with its connection after a complete event, or before the
+/// first one. Whether the text is complete shows when further runs continue it.
 struct RunEndUnconfirmed
-{};
+{
+  /// True if the run brought no event.
+  bool m_isEmpty = false;
+};
 
 /// The engine sent more than a text may hold, or bytes that are not UTF-8.
 struct RunUnusable
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -74,6 +74,7 @@
   aItem.m_eventCount = aReport.m_lastEvent;
   aItem.m_resumeUntil = {};
   aItem.m_mayBeComplete = false;
+  aItem.m_emptyRunAt = {};
   AddVersions(aItem.m_versions, aReport.m_versions);
 }
 
@@ -117,6 +118,7 @@
               core::Instant aNow)
 {
   ItemState& item = aRun.m_items[aItem];
+  item.m_emptyRunAt = {};
   // The next engine may serve another version, so a single-version text cannot
   // be resumed.
   if (aRun.m_policy.m_singleVersion || !HasUsableVersions(aRun, item)) {
@@ -125,14 +127,31 @@
   RetryItem(item, aNow + kInterruptionRetryDelay);
 }
 
+/// True if the text is complete, although no run has said so: two runs in a row
+/// on one engine have found nothing to add. The engine has accepted the second
+/// one after the first had ended, so that it was no crash that ended the first.
+bool
+IsConfirmedByEmptyRuns(const ItemState& aItem, const RunEndUnconfirmed& aEnd)
+{
+  const bool hasEmptyRun = !aItem.m_emptyRunAt.m_value.empty();
+  return aEnd.m_isEmpty && hasEmptyRun &&
+         aItem.m_emptyRunAt == aItem.m_lastEngine;
+}
+
 void
 HandleOutcome(BatchRun& aRun,
               size_t aItem,
-              const RunEndUnconfirmed&,
+              const RunEndUnconfirmed& aEnd,
               core::Instant aNow)
 {
   ItemState& item = aRun.m_items[aItem];
-  // A single-version text is kept too: if it is complete, the next run adds
+  if (IsConfirmedByEmptyRuns(item, aEnd)) {
+    HandleOutcome(aRun, aItem, RunCompleted{}, aNow);
+    return;
+  }
+  const bool isEmptyRun = aEnd.m_isEmpty && item.m_mayBeComplete;
+  item.m_emptyRunAt = isEmptyRun ? item.m_lastEngine : core::UpstreamId{};
+  // A single-version text is kept too: if it is complete, the next runs add
   // nothing to it.
   item.m_mayBeComplete = HasText(item);
   if (!HasUsableVersions(aRun, item)) {
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -143,6 +143,9 @@
     if (!usable || (avoidSlow && slow[i])) {
       continue;
     }
+    if (engine.m_id == item.m_emptyRunAt) {
+      return i;
+    }
     if (engine.m_id == item.m_lastEngine) {
       previous = i;
       continue;
--- a/src/batches/engines.h
+++ b/src/batches/engines.h
@@ -41,7 +41,8 @@
 /// Returns the engine that the item should run on, or nothing if the item has
 /// to wait. The engine needs a free slot, new enough weights and, if the item
 /// has a text, the software that generated it, and must not be refusing items.
-/// A long text gets the fastest engine; other items prefer the engine that
+/// A text that may be complete goes back to the engine that found nothing to
+/// add. A long text gets the fastest engine; other items prefer the engine that
 /// their group used last.
 std::optional<size_t>
 ChooseEngine(const BatchRun& aRun,
--- a/src/batches/internal/itemrun.cpp
+++ b/src/batches/internal/itemrun.cpp
@@ -75,7 +75,6 @@
     , m_memory(aTask.m_memory)
     , m_parser(relay::CodecInUse().m_versionField, kMaxTextBytes)
     , m_textBytes(aTask.m_resumedBytes)
-    , m_mayBeComplete(aTask.m_mayBeComplete)
     , m_nextEventId(aTask.m_resumeAfter + 1)
     , m_oldestAllowedVersion(aTask.m_oldestAllowedVersion)
     , m_version(aVersion)
@@ -109,13 +108,10 @@
     if (m_parser.IsInEvent()) {
       return RunInterrupted{};
     }
-    // A run that finds nothing to add confirms that the text was complete.
-    const bool confirmsEarlierRun =
-      m_mayBeComplete && m_lastEventAt == core::Instant{};
-    if (aStream.IsEndMarked() || confirmsEarlierRun) {
+    if (aStream.IsEndMarked()) {
       return RunCompleted{};
     }
-    return RunEndUnconfirmed{};
+    return RunEndUnconfirmed{ m_lastEventAt == core::Instant{} };
   }
 
   /// Returns when the last event became complete, or Instant{} if none did.
@@ -177,7 +173,6 @@
   relay::EventStreamParser m_parser;
   /// Size of the whole text.
   size_t m_textBytes;
-  bool m_mayBeComplete;
   uint64_t m_nextEventId;
   core::WeightVersion m_oldestAllowedVersion;
   /// The version that generates the current event.
--- a/src/batches/internal/itemrun.h
+++ b/src/batches/internal/itemrun.h
@@ -30,8 +30,6 @@
   /// The id of the event after which the text resumes; 0 to generate it from
   /// the beginning.
   uint64_t m_resumeAfter = 0;
-  /// True if the text is complete in case this run adds nothing to it.
-  bool m_mayBeComplete = false;
   /// The oldest weight version that may generate a token.
   core::WeightVersion m_oldestAllowedVersion;
   uint32_t m_expectedTokens = 0;
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -394,7 +394,6 @@
     engine.m_usable = false;
   }
   task.m_resumeAfter = run.m_items[itemIndex].m_eventCount;
-  task.m_mayBeComplete = run.m_items[itemIndex].m_mayBeComplete;
   task.m_oldestAllowedVersion = submission.m_oldestAllowedVersion;
   task.m_expectedTokens = item.m_expectedTokens;
   task.m_startedAt = kernel::Now();
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -296,6 +296,54 @@
   CHECK(overdue.m_pendingResults.size() == 1);
 }
 
+// Guards against a text that crashes have cut off and that counts as complete
+// (MIXED), and against one that is complete and never counts as such.
+TEST_CASE("a text without a marked end is complete after two empty runs on one "
+          "engine")
+{
+  BatchRun run = MakeTestRun(1);
+  const auto runOn = [&run](const char* aEngine, RunReport aReport, int aAt) {
+    REQUIRE(FindNextItemToStart(run, At(aAt)) == 0);
+    const uint64_t number = StartItemRun(run, 0, { { aEngine }, {} });
+    FinishItemRun(run, 0, number, std::move(aReport), At(aAt));
+  };
+  const RunReport empty{ RunEndUnconfirmed{ true }, "", 0, {} };
+  const RunReport broken{ RunInterrupted{}, "", 0, {} };
+  runOn("a", MakeReport(RunEndUnconfirmed{ false }, "x", 1), 1000);
+  runOn("b", empty, 2000);
+  CHECK(run.m_items[0].m_emptyRunAt == core::UpstreamId{ "b" });
+  // The engine of the empty run is gone: its run said nothing.
+  runOn("b", broken, 3000);
+  runOn("b", empty, 4000);
+  CHECK(run.m_pendingResults.empty());
+  // Another engine says nothing of the first one.
+  runOn("c", empty, 5000);
+  CHECK(run.m_pendingResults.empty());
+  SECTION("the engine adds nothing again")
+  {
+    runOn("c", empty, 6000);
+    REQUIRE(run.m_pendingResults.size() == 1);
+    CHECK(GetCompleted(run.m_pendingResults.front()).m_text == "x");
+  }
+  SECTION("the text goes on")
+  {
+    runOn("c", MakeReport(RunEndUnconfirmed{ false }, "y", 2), 6000);
+    runOn("c", empty, 7000);
+    CHECK(run.m_pendingResults.empty());
+    runOn("c", empty, 8000);
+    REQUIRE(run.m_pendingResults.size() == 1);
+    CHECK(GetCompleted(run.m_pendingResults.front()).m_text == "x\ny");
+  }
+  SECTION("no run brings anything of a text that has not begun")
+  {
+    BatchRun other = MakeTestRun(1);
+    for (int i = 1; i < 5; ++i) {
+      RunNextItem(other, empty, At(1000 * i));
+    }
+    CHECK(other.m_pendingResults.empty());
+  }
+}
+
 // Guards against an item that runs again and again, because no result can hold
 // the text that engines make of it.
 TEST_CASE("an item without a usable text starts no more and is lost at the "
