Write the end of a batch again that the store did not take

Cause: the end was state of the run in the owner's memory. If the write of the placement failed, nothing tried it again, and the batch was handed over without it.

Known limit: an owner that is killed before the store takes the end forgets it; the trainer had no acknowledgement then.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -256,6 +257,12 @@
                            const core::CustomerId& aCustomer);
   /// Stops all work on a batch; does not record that it has ended.
   void StopBatch(const BatchId& aBatch);
+  /// Writes the end of a batch, and again later for as long as the store does
+  /// not take it.
+  void WriteEnd(const BatchId& aBatch,
+                std::function<void(const absl::Status&)> aDone);
+  /// Writes the ends that the store has not taken yet.
+  void WritePendingEnds();
 
   // Loading from the object store; implemented in internal/loading.cpp.
   /// Starts to load a batch unless that has been started already.
@@ -424,6 +431,9 @@
   std::map<std::string, core::Instant, std::less<>> m_nextTakeoverAt;
   /// Submissions whose outcome callers wait for, by batch.
   std::map<std::string, PendingSubmission, std::less<>> m_pendingSubmissions;
+  /// Batches that their trainers have ended and whose placements do not say so
+  /// yet.
+  std::set<std::string, std::less<>> m_pendingEnds;
   /// Batches whose placement an attempt of unknown outcome may still create,
   /// and until when that is remembered.
   std::map<std::string, core::Instant, std::less<>> m_unconfirmedCreations;
--- a/src/batches/internal/batches.cpp
+++ b/src/batches/internal/batches.cpp
@@ -28,6 +28,7 @@
                         [this] {
                           TakeOverOrphans();
                           RemoveExpiredBatches();
+                          WritePendingEnds();
                           ForgetOldCreations();
                           m_housekeepingTimer.Set(kernel::Now() +
                                                   kHousekeepingInterval);
@@ -214,29 +215,53 @@
     return;
   }
   StopBatch(batch);
-  Placement ended = known->second;
+  m_pendingEnds.insert(batch.m_value);
+  WriteEnd(batch, [batch, aDone](const absl::Status& aStatus) {
+    kernel::LogEvent(
+      kernel::LogLevel::Info,
+      "batches",
+      "end",
+      { { "batch", batch.m_value },
+        { "outcome",
+          aStatus.ok() ? "ended" : http::DescribeStatus(aStatus) } });
+    if (aStatus.ok()) {
+      aDone(BatchEnded{});
+    } else {
+      aDone(TemporarilyUnavailable{ http::DescribeStatus(aStatus) });
+    }
+  });
+}
+
+void
+Batches::WriteEnd(const BatchId& aBatch,
+                  std::function<void(const absl::Status&)> aDone)
+{
+  Placement ended = m_placements.at(aBatch.m_value);
   ended.m_ended = true;
-  WritePlacement(
-    std::move(ended),
-    [self = shared_from_this(), batch, aDone](
-      const absl::StatusOr<uint64_t>& aVersion) {
-      kernel::LogEvent(
-        kernel::LogLevel::Info,
-        "batches",
-        "end",
-        { { "batch", batch.m_value },
-          { "outcome",
-            aVersion.ok() ? "ended"
-                          : http::DescribeStatus(aVersion.status()) } });
-      if (aVersion.ok()) {
-        aDone(BatchEnded{});
-        return;
-      }
-      // Reads the newer placement, so that a retry of the caller can
-      // succeed.
-      self->FetchPlacement(batch, [](const absl::StatusOr<Placement>&) {});
-      aDone(TemporarilyUnavailable{ http::DescribeStatus(aVersion.status()) });
-    });
+  WritePlacement(std::move(ended),
+                 [self = shared_from_this(), aBatch, aDone](
+                   const absl::StatusOr<uint64_t>& aVersion) {
+                   if (!aVersion.ok()) {
+                     // Reads the newer placement, so that another try can
+                     // succeed.
+                     self->FetchPlacement(
+                       aBatch, [](const absl::StatusOr<Placement>&) {});
+                   }
+                   aDone(aVersion.status());
+                 });
+}
+
+void
+Batches::WritePendingEnds()
+{
+  for (const std::string& id : std::set(m_pendingEnds)) {
+    const auto placement = m_placements.find(id);
+    if (placement == m_placements.end() || placement->second.m_ended) {
+      m_pendingEnds.erase(id);
+      continue;
+    }
+    WriteEnd({ id }, [](const absl::Status&) {});
+  }
 }
 
 void
--- a/src/batches/internal/placement.cpp
+++ b/src/batches/internal/placement.cpp
@@ -202,6 +202,8 @@
   m_context.Metrics().Get("batches.takeovers").Add();
   Placement taken = aPlacement;
   taken.m_owner = m_context.Self().m_host;
+  taken.m_ended =
+    taken.m_ended || m_pendingEnds.contains(aPlacement.m_batch.m_value);
   WritePlacement(std::move(taken),
                  [self = shared_from_this(),
                   aPlacement](const absl::StatusOr<uint64_t>& aVersion) {
@@ -295,6 +297,8 @@
     *remaining += 1;
     const BatchId batch = placement.m_batch;
     placement.m_owner.clear();
+    placement.m_ended =
+      placement.m_ended || m_pendingEnds.contains(batch.m_value);
     WritePlacement(
       std::move(placement),
       [self = shared_from_this(), batch, finishWrite](
@@ -361,7 +365,9 @@
 Batches::IsEnded(std::string_view aBatch) const
 {
   const auto placement = m_placements.find(aBatch);
-  return placement != m_placements.end() && placement->second.m_ended;
+  const bool isRecorded =
+    placement != m_placements.end() && placement->second.m_ended;
+  return isRecorded || m_pendingEnds.contains(aBatch);
 }
 
 bool
