Do not pass on a stream that broke off within an event as complete

Cause: the body of an answer without a length is whole when its connection ends. Nothing looked at its events.

Change: on routes of streams, such a body that ends within an event is a truncated answer: a stream that may be resumed runs at another worker, any other is answered 502. This holds by way of another host too, as that host reads the answer. A stream that ends after a whole event and has no length can still not be told from a complete one.

--- a/src/relay/decisions/eventstream.cpp
+++ b/src/relay/decisions/eventstream.cpp
@@ -95,4 +95,12 @@
   }
 }
 
+bool
+EndsWithinEvent(std::string_view aStream)
+{
+  EventStreamParser parser("");
+  parser.ParseChunk(aStream);
+  return parser.IsInEvent();
+}
+
 } // namespace heatherdeal::relay
--- a/src/relay/eventstream.h
+++ b/src/relay/eventstream.h
@@ -62,4 +62,9 @@
   bool m_isInEvent = false;
 };
 
+/// True if the stream ends in the middle of an event, so that its upstream
+/// broke off although the stream looks complete.
+bool
+EndsWithinEvent(std::string_view aStream);
+
 } // namespace heatherdeal::relay
--- a/src/relay/internal/relay.cpp
+++ b/src/relay/internal/relay.cpp
@@ -6,6 +6,7 @@
 #include "kernel/sleep.h"
 #include "quarantine/fingerprint.h"
 #include "relay/attemptlimit.h"
+#include "relay/eventstream.h"
 #include "relay/internal/peerrelay.h"
 #include "relay/internal/startrecorder.h"
 
@@ -51,6 +52,12 @@
                           kernel::Now());
 }
 
+bool
+IsStream(const configuration::Route& aRoute)
+{
+  return std::holds_alternative<configuration::StreamRequests>(aRoute.m_kind);
+}
+
 /// Returns the class of requests that are expected to cost as much as the call.
 /// A resumed stream generates less text, and the items of batches differ from
 /// what callers send on the same route.
@@ -249,6 +256,15 @@
   if (!body.ok()) {
     co_return body.status();
   }
+  // Without a length, the end of a stream looks like the end of a connection
+  // whose upstream crashed; only its last event may tell.
+  const bool mayHaveBrokenOff = IsSuccess(head.m_status) &&
+                                IsStream(aCall.m_route) &&
+                                !aStream.IsEndMarked();
+  if (mayHaveBrokenOff && EndsWithinEvent(body->m_bytes)) {
+    co_return core::ToStatus(
+      core::TruncatedResponse{ aReservation.Chosen().m_id.m_value });
+  }
   response.m_response.m_body = std::move(body->m_bytes);
   response.m_response.m_reservation = std::move(body->m_reservation);
   co_return response;
@@ -374,8 +390,7 @@
     reservation->ReportCompletion(now, kernel::Now());
   }
   const bool beginsStream =
-    std::holds_alternative<configuration::StreamRequests>(
-      aCall.m_route.m_kind) &&
+    IsStream(aCall.m_route) &&
     std::holds_alternative<FromBeginning>(aCall.m_position);
   if (response.ok() && beginsStream) {
     m_streamOrigins->Record({ aCall.m_id }, reservation->Chosen().m_software);
--- a/src/relay/tests/eventstreamtest.cpp
+++ b/src/relay/tests/eventstreamtest.cpp
@@ -93,4 +93,20 @@
   CHECK_FALSE(events[0].m_version);
 }
 
+TEST_CASE("a stream that ends within an event is told from a whole one")
+{
+  for (const char* whole :
+       { "", "id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n" }) {
+    CHECK_FALSE(EndsWithinEvent(whole));
+  }
+  for (const char* cut : { "i",
+                           "id: 1\n",
+                           "id: 1\ndata: a",
+                           "id: 1\ndata: a\n",
+                           "id: 1\ndata: a\n\nid: 2\nda" }) {
+    INFO(cut);
+    CHECK(EndsWithinEvent(cut));
+  }
+}
+
 } // namespace heatherdeal::relay
