Keep signals that arrive while a process starts

Cause: the handlers are set when all plug-ins have started; until then the default action ends the process.

Change: a process blocks SIGHUP, SIGTERM and SIGINT first of all, and lets them through once their handlers are set; what came before takes effect then. The time before main(), in the dynamic linker, is left: a signal there still ends the process.

--- a/src/kernel/internal/process.cpp
+++ b/src/kernel/internal/process.cpp
@@ -1,6 +1,7 @@
 #include "kernel/process.h"
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -205,6 +206,19 @@
     { { "program", aProgram.m_name }, { "valid", errors.m_errors.empty() } });
 }
 
+/// Blocks or unblocks the signals that operators send to a process, for the
+/// calling thread and those that it starts later. A blocked one is kept.
+void
+SetOperatorSignalsBlocked(bool aAreBlocked)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : { SIGHUP, SIGTERM, SIGINT }) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(aAreBlocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 void
 CallOnReloadSignal(boost::asio::signal_set& aSignals,
                    std::function<void()> aOnReload)
@@ -246,6 +260,7 @@
       aContext.Control().Post([&] { aContext.Control().Stop(); });
     });
   });
+  SetOperatorSignalsBlocked(false);
   aContext.Control().Run();
   aContext.Traffic().Stop();
   if (!aContext.FailureStatus().ok()) {
@@ -317,6 +332,8 @@
 int
 RunProcess(const Program& aProgram, int aArgc, const char* const* aArgv)
 {
+  // Until the handlers are set, these signals would end the process.
+  SetOperatorSignalsBlocked(true);
   const CommandLineResult commandLine =
     ParseCommandLine(aProgram, aArgc, aArgv);
   if (const ExitCode* code = std::get_if<ExitCode>(&commandLine)) {
--- a/src/kernel/process.h
+++ b/src/kernel/process.h
@@ -23,6 +23,7 @@
 
 /// Parses the command line and the settings file, starts all plug-ins and runs
 /// until SIGTERM or SIGINT. Then drains the plug-ins and returns the exit code.
+/// Signals that arrive during the start take effect after it.
 int
 RunProcess(const Program& aProgram, int aArgc, const char* const* aArgv);
 
