--- a/src/objectstore/internal/kindwatch.cpp
+++ b/src/objectstore/internal/kindwatch.cpp
@@ -1,7 +1,5 @@
 #include "objectstore/internal/kindwatch.h"
 
-#include <set>
-
 #include "boost/asio/post.hpp"
 
 #include "core/failure.h"
@@ -89,6 +87,7 @@
   , m_client(aClient)
   , m_transport(std::move(aTransport))
   , m_options(std::move(aOptions))
+  , m_unreadableObjects(aContext, m_options.m_kind)
 {
   m_backoff.m_seed =
     std::hash<std::string>()(m_context.Self().m_host + m_options.m_kind);
@@ -432,33 +431,6 @@
   }
 }
 
-void
-KindWatch::ReportUnreadable(const ObjectList& aList)
-{
-  std::set<std::string_view> unreadable;
-  for (const UnreadableObject& object : aList.m_unreadable) {
-    unreadable.insert(object.m_name);
-    if (!m_reportedUnreadable.insert(object.m_name).second) {
-      continue;
-    }
-    m_context.Metrics().Get("objectstore.unreadable_objects").Add();
-    kernel::LogEvent(kernel::LogLevel::Warning,
-                     "objectstore",
-                     "object-unreadable",
-                     { { "kind", m_options.m_kind },
-                       { "name", object.m_name },
-                       { "version", object.m_version } });
-  }
-  for (const StoredObject& object : aList.m_objects) {
-    if (!unreadable.contains(object.m_key.m_name)) {
-      m_reportedUnreadable.erase(object.m_key.m_name);
-    }
-  }
-  for (const std::string& name : aList.m_removedNames) {
-    m_reportedUnreadable.erase(name);
-  }
-}
-
 bool
 KindWatch::ApplyList(ObjectList aList)
 {
@@ -467,7 +439,7 @@
   if (aList.m_revision < m_lastRevision) {
     return false;
   }
-  ReportUnreadable(aList);
+  m_unreadableObjects.Report(aList);
   m_revision = aList.m_revision;
   m_lastRevision = aList.m_revision;
   m_hasListed = true;
--- a/src/objectstore/internal/kindwatch.h
+++ b/src/objectstore/internal/kindwatch.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <variant>
 
 #include "boost/asio/awaitable.hpp"
@@ -14,6 +13,7 @@
 #include "kernel/published.h"
 #include "objectstore/internal/objectcalls.h"
 #include "objectstore/internal/storetransport.h"
+#include "objectstore/internal/unreadableobjects.h"
 #include "objectstore/objectcodec.h"
 #include "objectstore/objectstore.h"
 
@@ -124,9 +124,6 @@
   void HandleStoreFailure(const absl::Status& aStatus);
   /// Applies the list, or returns false if it is older than the known revision.
   bool ApplyList(ObjectList aList);
-  /// Counts and logs the objects that can't be read, each once for as long as
-  /// that lasts.
-  void ReportUnreadable(const ObjectList& aList);
   /// Retains, for the grace period, known objects that aList does not contain.
   void RetainExpiredObjects(const ObjectList& aList);
   /// Drops the retained objects once the grace period has ended.
@@ -153,9 +150,7 @@
   std::optional<uint64_t> m_revision;
   /// The highest revision that has been applied.
   uint64_t m_lastRevision = 0;
-  /// The names of the objects that were reported as unreadable and are not
-  /// known to be readable or removed since.
-  std::set<std::string> m_reportedUnreadable;
+  UnreadableObjects m_unreadableObjects;
   /// True once the kind has been listed.
   bool m_hasListed = false;
   Objects m_objects;
