--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -187,6 +187,8 @@
     core::Instant m_acceptedAt{};
     bool m_loading = false;
     bool m_loaded = false;
+    /// Why the batch could not be loaded; "" if nothing has failed.
+    std::string m_loadFailure;
     BatchRun m_run;
     /// The version of the checkpoint object; 0 if there is none.
     uint64_t m_checkpointVersion = 0;
@@ -269,6 +271,8 @@
   void EnsureLoading(const OwnedPtr& aOwned);
   void LoadItems(const OwnedPtr& aOwned);
   void LoadChunk(const OwnedPtr& aOwned, uint64_t aChunkNumber);
+  /// Logs why the batch can't be loaded, once for each reason.
+  static void LogLoadFailure(OwnedBatch& aOwned, const absl::Status& aStatus);
   /// Confirms with a strongly consistent read that the chunk does not exist,
   /// then seals the results.
   void ConfirmChunkMissing(const OwnedPtr& aOwned, uint64_t aChunkNumber);
--- a/src/batches/internal/loading.cpp
+++ b/src/batches/internal/loading.cpp
@@ -43,6 +43,19 @@
   (*timer)->Set(kernel::Now() + kStoreRetryDelay);
 }
 
+void
+Batches::LogLoadFailure(OwnedBatch& aOwned, const absl::Status& aStatus)
+{
+  const std::string reason = http::DescribeStatus(aStatus);
+  if (std::exchange(aOwned.m_loadFailure, reason) == reason) {
+    return;
+  }
+  kernel::LogEvent(kernel::LogLevel::Warning,
+                   "batches",
+                   "load-failed",
+                   { { "batch", aOwned.m_id.m_value }, { "reason", reason } });
+}
+
 void
 Batches::LoadItems(const OwnedPtr& aOwned)
 {
@@ -57,12 +70,7 @@
       absl::StatusOr<Submission> submission =
         aObject.ok() ? ParseSubmission(aObject->m_value) : aObject.status();
       if (!submission.ok()) {
-        kernel::LogEvent(
-          kernel::LogLevel::Warning,
-          "batches",
-          "load-failed",
-          { { "batch", aOwned->m_id.m_value },
-            { "reason", http::DescribeStatus(submission.status()) } });
+        LogLoadFailure(*aOwned, submission.status());
         self->ScheduleRetry([self, aOwned] { self->LoadItems(aOwned); });
         return;
       }
@@ -131,6 +139,7 @@
   absl::StatusOr<ResultChunk> chunk =
     aObject.ok() ? ParseChunk(aObject->m_value) : aObject.status();
   if (!chunk.ok()) {
+    LogLoadFailure(*aOwned, chunk.status());
     ScheduleRetry([self = shared_from_this(), aOwned, aChunkNumber] {
       self->LoadChunk(aOwned, aChunkNumber);
     });
