--- a/src/objectstore/tests/objectstoretest.cpp
+++ b/src/objectstore/tests/objectstoretest.cpp
@@ -32,8 +32,13 @@
     m_api = std::make_shared<standin::ObjectApi>(m_loopback.Kernel());
     m_api->AddRoutes();
     m_loopback.Listen();
+    UseStoreAt(m_loopback.Self());
+  }
+
+  void UseStoreAt(const core::Endpoint& aStore)
+  {
     ObjectStoreSettings settings;
-    settings.m_endpoints = { m_loopback.Self() };
+    settings.m_endpoints = { aStore };
     settings.m_callTimeout = milliseconds(500);
     settings.m_longPollWait = seconds(5);
     settings.m_budget = { 1000.0, 1000.0 };
@@ -128,6 +133,24 @@
   }
 }
 
+// Guards against a write that is taken for stored because of bytes that are no
+// answer.
+TEST_CASE(
+  "a store's answer behind a status that HTTP does not have is not taken")
+{
+  const std::string status =
+    GENERATE(as<std::string>(), "000 None", "101 Switching Protocols");
+  const std::string body = R"({"version":5})";
+  const http::RawServer raw("HTTP/1.1 " + status +
+                            "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n" + body);
+  StoreFixture store;
+  store.UseStoreAt(raw.Endpoint());
+  const auto written = store.Write(0, "a");
+  REQUIRE_FALSE(written.ok());
+  CHECK(ExecutedOf(written.status()) == core::Executed::Unknown);
+}
+
 TEST_CASE("a missing object reads as version 0")
 {
   StoreFixture store;
