--- a/src/batches/batchrun.h
+++ b/src/batches/batchrun.h
@@ -83,7 +83,7 @@
   bool m_mayBeComplete = false;
   /// The engine whose run then found nothing to add, without saying so either;
   /// empty if there is none. It may have crashed at that moment.
-  core::UpstreamId m_emptyRunAt;
+  core::UpstreamId m_emptyRunEngine;
   /// The number of events that are in a stored checkpoint.
   uint64_t m_checkpointedEvents = 0;
   uint32_t m_failedRuns = 0;
--- a/src/batches/decisions/batchrun.cpp
+++ b/src/batches/decisions/batchrun.cpp
@@ -74,7 +74,7 @@
   aItem.m_eventCount = aReport.m_lastEvent;
   aItem.m_resumeUntil = {};
   aItem.m_mayBeComplete = false;
-  aItem.m_emptyRunAt = {};
+  aItem.m_emptyRunEngine = {};
   AddVersions(aItem.m_versions, aReport.m_versions);
 }
 
@@ -118,7 +118,7 @@
               core::Instant aNow)
 {
   ItemState& item = aRun.m_items[aItem];
-  item.m_emptyRunAt = {};
+  item.m_emptyRunEngine = {};
   // The next engine may serve another version, so a single-version text cannot
   // be resumed.
   if (aRun.m_policy.m_singleVersion || !HasUsableVersions(aRun, item)) {
@@ -133,9 +133,9 @@
 bool
 IsConfirmedByEmptyRuns(const ItemState& aItem, const RunEndUnconfirmed& aEnd)
 {
-  const bool hasEmptyRun = !aItem.m_emptyRunAt.m_value.empty();
+  const bool hasEmptyRun = !aItem.m_emptyRunEngine.m_value.empty();
   return aEnd.m_isEmpty && hasEmptyRun &&
-         aItem.m_emptyRunAt == aItem.m_lastEngine;
+         aItem.m_emptyRunEngine == aItem.m_lastEngine;
 }
 
 void
@@ -150,7 +150,7 @@
     return;
   }
   const bool isEmptyRun = aEnd.m_isEmpty && item.m_mayBeComplete;
-  item.m_emptyRunAt = isEmptyRun ? item.m_lastEngine : core::UpstreamId{};
+  item.m_emptyRunEngine = isEmptyRun ? item.m_lastEngine : core::UpstreamId{};
   // A single-version text is kept too: if it is complete, the next runs add
   // nothing to it.
   item.m_mayBeComplete = HasText(item);
--- a/src/batches/decisions/engines.cpp
+++ b/src/batches/decisions/engines.cpp
@@ -143,7 +143,7 @@
     if (!usable || (avoidSlow && slow[i])) {
       continue;
     }
-    if (engine.m_id == item.m_emptyRunAt) {
+    if (engine.m_id == item.m_emptyRunEngine) {
       return i;
     }
     if (engine.m_id == item.m_lastEngine) {
--- a/src/batches/decisions/itemstate.cpp
+++ b/src/batches/decisions/itemstate.cpp
@@ -20,7 +20,7 @@
   aItem.m_versions.clear();
   aItem.m_resumeUntil = {};
   aItem.m_mayBeComplete = false;
-  aItem.m_emptyRunAt = {};
+  aItem.m_emptyRunEngine = {};
 }
 
 bool
--- a/src/batches/tests/batchruntest.cpp
+++ b/src/batches/tests/batchruntest.cpp
@@ -311,7 +311,7 @@
   const RunReport broken{ RunInterrupted{}, "", 0, {} };
   runOn("a", MakeReport(RunEndUnconfirmed{ false }, "x", 1), 1000);
   runOn("b", empty, 2000);
-  CHECK(run.m_items[0].m_emptyRunAt == core::UpstreamId{ "b" });
+  CHECK(run.m_items[0].m_emptyRunEngine == core::UpstreamId{ "b" });
   // The engine of the empty run is gone: its run said nothing.
   runOn("b", broken, 3000);
   runOn("b", empty, 4000);
