--- a/src/kernel/tests/partialjsontest.cpp
+++ b/src/kernel/tests/partialjsontest.cpp
@@ -1,10 +1,11 @@
 #include "kernel/partialjson.h"
 
-#include <chrono>
-
 #include "boost/json/serialize.hpp"
 #include "catch2/catch.hpp"
 
+#include "core/tests/anyvalues.h"
+#include "kernel/json.h"
+
 namespace heatherdeal::kernel {
 
 namespace {
@@ -85,4 +86,36 @@
   CHECK(Parse(R"({"a":)" + nested + R"(,"b":2})").ends_with(R"("b":2})"));
 }
 
+TEST_CASE("damage within one string leaves the other elements as they are")
+{
+  CHECK(rc::check([] {
+    std::string damage = core::AnyBytes();
+    std::erase_if(damage,
+                  [](char aByte) { return aByte == '"' || aByte == '\\'; });
+    const std::string text = R"({"items":[{"name":"a","spec":{"x":")" + damage +
+                             R"("}},{"name":"b","spec":{"x":2}}],"end":9})";
+    const std::string parsed = Parse(text);
+    RC_ASSERT(parsed.ends_with(R"({"name":"b","spec":{"x":2}}],"end":9})"));
+    RC_ASSERT(parsed.starts_with(R"({"items":[{"name":"a","spec":)"));
+  }));
+}
+
+TEST_CASE("damage anywhere is survived")
+{
+  CHECK(rc::check([] {
+    std::string text =
+      R"({"items":[{"name":"a","spec":{"x":[1,"y",{"z":null}]}},
+      {"name":"b","spec":{"x":2}},{"name":"c"}],"end":9})";
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i) {
+      const auto position = *rc::gen::inRange<size_t>(0, text.size());
+      const std::string bytes = core::AnyBytes().substr(0, 3);
+      text.replace(position, *rc::gen::inRange<size_t>(0, 4), bytes);
+    }
+    // What is left of a document is a document, or there is nothing.
+    const std::string parsed = Parse(text);
+    RC_ASSERT(parsed.empty() || ParseJson(parsed, "parsed").ok());
+  }));
+}
+
 } // namespace heatherdeal::kernel
