Return the memory of a text once its result has a score

Found while reading the whole change: the memory that a text occupies in the budget was returned when its run ended without a text, but not when its scorer answered. Each scored result went on counting twice its length until its batch was removed, against what docs/design/memory-budget.md says, and a rollout host with many batches could refuse submissions for it.

Both ends call ReleaseFinishedText now.

--- a/src/batches/batches.h
+++ b/src/batches/batches.h
@@ -390,6 +390,8 @@
   std::shared_ptr<http::ProcessBudget::Reservation> ReserveText(
     OwnedBatch& aOwned,
     size_t aItem) const;
+  /// Returns the memory of a text that has become a result or was discarded.
+  static void ReleaseFinishedText(OwnedBatch& aOwned, size_t aItem);
   void StartScoreRequests(const OwnedPtr& aOwned);
   void StartScoreRequest(const OwnedPtr& aOwned,
                          size_t aItem,
--- a/src/batches/internal/running.cpp
+++ b/src/batches/internal/running.cpp
@@ -428,9 +428,7 @@
       aOwned->m_activeRequests.erase(itemIndex);
       FinishItemRun(
         aOwned->m_run, itemIndex, runNumber, std::move(aReport), kernel::Now());
-      if (aOwned->m_run.m_items[itemIndex].m_text.empty()) {
-        aOwned->m_textMemory.erase(itemIndex);
-      }
+      ReleaseFinishedText(*aOwned, itemIndex);
       self->RunDueWork();
     };
   asio::co_spawn(m_context.Traffic().Loop(loop),
@@ -468,6 +466,14 @@
   return memory;
 }
 
+void
+Batches::ReleaseFinishedText(OwnedBatch& aOwned, size_t aItem)
+{
+  if (aOwned.m_run.m_items[aItem].m_text.empty()) {
+    aOwned.m_textMemory.erase(aItem);
+  }
+}
+
 void
 Batches::AbortActiveRequests(OwnedBatch& aOwned)
 {
--- a/src/batches/internal/scoring.cpp
+++ b/src/batches/internal/scoring.cpp
@@ -136,6 +136,7 @@
       aOwned->m_activeRequests.erase(aItem);
       FinishItemScoring(
         aOwned->m_run, aItem, scoringNumber, aOutcome, attempts, kernel::Now());
+      ReleaseFinishedText(*aOwned, aItem);
       self->RunDueWork();
     };
   asio::co_spawn(m_context.Traffic().Loop(loop),
